--- /dev/null
+++ b/marjoramford/__main__.py
@@ -0,0 +1,23 @@
+"""Entry point of the command line."""
+
+import sys
+
+import fire
+import fire.core
+
+from .commands import Commands
+from .deferrals import run_deferred
+
+
+def main() -> None:
+    """Runs one command."""
+    fire.core.Display = lambda lines, out: print(*lines, sep="\n", file=out)
+    try:
+        fire.Fire(Commands(), name="marjoramford")
+        run_deferred()
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marjoramford/admissions.py
@@ -0,0 +1,123 @@
+"""Opening of flows: which backend server and whether the service's limit allows one more."""
+
+from .actions import Action, SendInner, SendToCaller
+from .addresses import Address
+from .backend_servers import BackendServer
+from .keys import Purpose
+from .limits import Resource, Want
+from .messages import Open, Opened, OpenRefused, Relay, encode
+from .nodes import Node
+from .records import CatalogueEntry
+from .requests import Flow
+from .tokens import Token, seal_token, verify_token
+
+MAX_OPEN_HOPS = 2
+RETRY_OPEN_SECONDS = 1.0
+FLOW_NUMBER_BITS = 63
+
+
+class FlowAdmission:
+    """Answers `Open`; the entry VM that answers becomes the flow's coordinator."""
+
+    def __init__(self, node: Node):
+        self._node = node
+
+    def open(self, request: Open, caller: Address, hops: int, now: float) -> list[Action]:
+        """Makes a flow, passes the wish on to another entry VM, or refuses it."""
+        node = self._node
+        entry = node.catalogue.get(request.service)
+        previous = self._previous(request, caller, now)
+        if node.draining_until is not None:
+            return self._pass_on(request, caller, hops, "entry VM is leaving", now)
+        if entry is None:
+            return self._pass_on(request, caller, hops, "unknown service", now)
+        if entry.retired and previous is None:
+            return self._refuse(request, caller, "service is retired", now)
+        available = node.limits.available(
+            entry.name, Resource.CONNECTIONS, entry.max_connections, now
+        )
+        if previous is None and node.flows.open_flows(entry.name) >= available:
+            node.want(Want(entry.name, Resource.CONNECTIONS, max(1, entry.max_connections // 8)))
+            return self._pass_on(request, caller, hops, "connection limit", now)
+        server = self._choose_server(entry, previous, now)
+        if server is None:
+            return self._pass_on(request, caller, hops, "no backend server", now)
+        return self._make(request, caller, entry, server, previous, now)
+
+    def _previous(self, request: Open, caller: Address, now: float) -> Token | None:
+        if not request.previous:
+            return None
+        token = verify_token(request.previous, self._node.keys).ok()
+        if token is None or token.caller != caller or token.service != request.service:
+            return None
+        entry = self._node.catalogue.get(token.service)
+        if entry is None or entry.added_at_revision != token.service_incarnation:
+            return None
+        return token if token.expires_at > now else None
+
+    def _choose_server(
+        self, entry: CatalogueEntry, previous: Token | None, now: float
+    ) -> BackendServer | None:
+        node = self._node
+        if previous is not None:
+            kept = node.servers.get(previous.server)
+            same = kept is not None and kept.incarnation == previous.server_incarnation
+            if same and kept.takes_work and kept.ejected_until <= now:
+                return kept
+        servers = node.servers.candidates(entry.name, now)
+        if not servers:
+            return None
+        drawn = node.random.sample(servers, len(servers))
+        return min(drawn, key=lambda server: node.flows.flows_on(server.name))
+
+    def _make(
+        self,
+        request: Open,
+        caller: Address,
+        entry: CatalogueEntry,
+        server: BackendServer,
+        previous: Token | None,
+        now: float,
+    ) -> list[Action]:
+        node = self._node
+        number = node.random.getrandbits(FLOW_NUMBER_BITS)
+        token = Token(
+            flow=number,
+            stream=previous.stream if previous else number,
+            service=entry.name,
+            service_incarnation=entry.added_at_revision,
+            server=server.name,
+            server_incarnation=server.incarnation,
+            server_address=server.data_address,
+            coordinator=node.coordinator,
+            peer_address=node.own.peer_address,
+            caller=caller,
+            issued_at=now,
+            expires_at=now + node.settings.times.token_lifetime,
+        )
+        node.flows.add(number, Flow(entry.name, server.name, token.expires_at))
+        node.counters["flows_opened"] += 1
+        sealed = seal_token(token, node.keys)
+        reply = Opened(request.nonce, number, token.stream, sealed, token.expires_at)
+        return [SendToCaller(caller, encode(reply))]
+
+    def _pass_on(
+        self, request: Open, caller: Address, hops: int, reason: str, now: float
+    ) -> list[Action]:
+        peers = self._node.entry_vms.active()
+        if hops >= MAX_OPEN_HOPS or not peers:
+            return self._refuse(request, caller, reason, now)
+        peer = self._node.random.choice(peers)
+        self._node.counters["opens_passed_on"] += 1
+        return [relay(self._node, peer.peer_address, caller, encode(request), hops)]
+
+    def _refuse(self, request: Open, caller: Address, reason: str, now: float) -> list[Action]:
+        self._node.counters["opens_refused"] += 1
+        reply = OpenRefused(request.nonce, reason, now + RETRY_OPEN_SECONDS)
+        return [SendToCaller(caller, encode(reply))]
+
+
+def relay(node: Node, address: Address, caller: Address, payload: bytes, hops: int) -> SendInner:
+    """Returns the action that relays a caller's datagram to another entry VM."""
+    message = encode(Relay(caller, payload, hops + 1))
+    return SendInner(address, node.keys.seal(message, Purpose.PEER))
--- /dev/null
+++ b/marjoramford/backend_servers.py
@@ -0,0 +1,195 @@
+"""Backend servers as one entry VM sees them: published records, reports and its own evidence."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .addresses import Address
+from .events import LoadReported
+from .logs import LogEvent, log_event
+from .records import VmRecord
+
+logger = logging.getLogger(__name__)
+
+FAILURES_TO_EJECT = 3
+EJECTION_SECONDS = 5.0
+MAX_EJECTED_SHARE = 0.5
+COLD_START_SECONDS = 10.0
+LIMIT_DECREASE = 0.5
+LIMIT_INCREASE = 0.1
+MIN_LIMIT = 1.0
+DEFAULT_SLOTS = 2
+TRUST_LOSS = 0.5
+TRUST_GAIN = 0.02
+DISTRUST_BELOW = 0.3
+MEAN_WORK_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class BackendServer:
+    """One incarnation of a backend server.
+
+    Attributes:
+        in_progress: requests that this entry VM has dispatched and that have not ended.
+        limit: how many of its own requests this entry VM lets run there at a time.
+        closed_until: no dispatch before this time after the server shed one, in epoch seconds.
+        ejected_until: not chosen before this time unless every server is bad, in epoch seconds.
+        warm_at: when its cold start is over, in epoch seconds.
+        trust: how far its load reports agree with what it answers, 0 to 1.
+    """
+
+    name: str
+    incarnation: int
+    zone: str
+    service: str
+    data_address: Address
+    http_address: Address
+    slots: int = DEFAULT_SLOTS
+    warm_at: float = 0.0
+    leaving: bool = False
+    gone: bool = False
+    in_progress: int = 0
+    limit: float = DEFAULT_SLOTS
+    closed_until: float = 0.0
+    ejected_until: float = 0.0
+    failures: int = 0
+    trust: float = 1.0
+    reported_busy: int = 0
+    reported_at: float = 0.0
+    own_when_reported: int = 0
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether it may get new work at all."""
+        return not self.leaving and not self.gone
+
+    def is_open(self, now: float) -> bool:
+        """Whether another request may be dispatched to it now."""
+        return self.takes_work and now >= self.closed_until and self.in_progress < int(self.limit)
+
+    def take_report(self, report: LoadReported) -> None:
+        """Takes what its load endpoint said."""
+        if report.slots > 0:
+            self.slots = report.slots
+        if report.measured_at < self.reported_at:
+            return
+        self.reported_at = report.measured_at
+        self.reported_busy = report.busy
+        self.own_when_reported = self.in_progress
+        if report.draining:
+            self.start_leaving("load report")
+        self._judge(agrees=report.busy >= self.in_progress)
+
+    def take_answer(self) -> None:
+        """Notes a request that it answered."""
+        self.failures = 0
+        self.limit = min(float(max(self.slots, MIN_LIMIT)), self.limit + LIMIT_INCREASE)
+
+    def take_shed(self, closed_until: float) -> None:
+        """Notes a request that it refused, for want of a slot, without running it."""
+        self.failures = 0
+        self.closed_until = closed_until
+        self.limit = max(MIN_LIMIT, self.limit * LIMIT_DECREASE)
+        if self.reported_at:
+            self._judge(agrees=self.reported_busy >= self.slots - 1)
+
+    def take_failure(self) -> None:
+        """Notes a connection that failed or broke."""
+        self.failures += 1
+
+    def start_leaving(self, signal: str) -> None:
+        """Gives it no new work from now on; the first signal of any kind is enough."""
+        if not self.leaving:
+            self.leaving = True
+            log_event(logger, LogEvent.SERVER_LEAVING, server=self.name, signal=signal)
+
+    def _judge(self, agrees: bool) -> None:
+        trusted = self.trust >= DISTRUST_BELOW
+        if agrees:
+            self.trust = min(1.0, self.trust + TRUST_GAIN)
+        else:
+            self.trust *= TRUST_LOSS
+        if trusted and self.trust < DISTRUST_BELOW:
+            log_event(logger, LogEvent.SERVER_REPORT_DISTRUSTED, server=self.name)
+
+
+class BackendServers:
+    """Every backend server known, by name and by service."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, BackendServer] = {}
+        self._by_service: defaultdict[str, dict[str, BackendServer]] = defaultdict(dict)
+        self._mean_work: dict[str, float] = {}
+
+    def get(self, name: str) -> BackendServer | None:
+        """Returns the newest incarnation of a server."""
+        return self._by_name.get(name)
+
+    def values(self) -> Iterable[BackendServer]:
+        """Returns all servers known."""
+        return self._by_name.values()
+
+    def of_service(self, service: str) -> Iterable[BackendServer]:
+        """Returns the servers of a service, leaving and ejected ones included."""
+        return self._by_service[service].values() if service in self._by_service else ()
+
+    def mean_work_seconds(self, service: str) -> float:
+        """Returns the mean time that the service's requests take, as this entry VM saw it."""
+        return self._mean_work.get(service, 0.1)
+
+    def note_work(self, service: str, seconds: float) -> None:
+        """Counts the time that one request of a service took."""
+        mean = self._mean_work.get(service, seconds)
+        self._mean_work[service] = mean + MEAN_WORK_WEIGHT * (seconds - mean)
+
+    def apply_record(self, record: VmRecord) -> None:
+        """Takes a backend server's record from the platform's list."""
+        if record.role != "server":
+            return
+        held = self._by_name.get(record.name)
+        if held is not None and record.incarnation < held.incarnation:
+            return
+        if held is None or record.incarnation > held.incarnation or record.service != held.service:
+            held = self._replace(held, record)
+        if record.state != "live":
+            held.start_leaving("VM list")
+        held.gone = held.gone or record.state == "gone"
+
+    def eject_if_bad(self, server: BackendServer, now: float) -> None:
+        """Ejects a server after repeated failures, unless too many of its service are out."""
+        if server.failures < FAILURES_TO_EJECT or server.ejected_until > now:
+            return
+        pool = [peer for peer in self.of_service(server.service) if peer.takes_work]
+        ejected = sum(peer.ejected_until > now for peer in pool)
+        if ejected + 1 > len(pool) * MAX_EJECTED_SHARE:
+            return
+        server.failures = 0
+        server.ejected_until = now + EJECTION_SECONDS
+        log_event(logger, LogEvent.SERVER_EJECTED, server=server.name)
+
+    def candidates(self, service: str, now: float) -> list[BackendServer]:
+        """Returns the servers that may get new work; all that take work if every one is bad."""
+        pool = [server for server in self.of_service(service) if server.takes_work]
+        good = [server for server in pool if server.ejected_until <= now]
+        return good or pool
+
+    def _replace(self, held: BackendServer | None, record: VmRecord) -> BackendServer:
+        if held is not None:
+            held.gone = True
+            self._by_service[held.service].pop(held.name, None)
+        slots = record.slots or DEFAULT_SLOTS
+        server = BackendServer(
+            record.name,
+            record.incarnation,
+            record.zone,
+            record.service,
+            Address(record.host, record.data_port),
+            Address(record.host, record.http_port),
+            slots=slots,
+            limit=float(slots),
+            warm_at=record.listed_at + COLD_START_SECONDS if record.listed_at else 0.0,
+        )
+        self._by_name[record.name] = server
+        self._by_service[record.service][record.name] = server
+        return server
--- /dev/null
+++ b/marjoramford/balancers.py
@@ -0,0 +1,254 @@
+"""The decision core of an entry VM: events in, actions out, no clock, no sockets.
+
+`Balancer` is the whole public surface. A harness feeds it events with the time at which they are
+handled, carries out the actions, and calls `handle` with `Tick` no later than `next_tick_at`.
+"""
+
+from dataclasses import asdict, dataclass
+from random import Random
+
+from .actions import Action
+from .addresses import Address
+from .admissions import FlowAdmission
+from .budgets import TokenBucket
+from .coordinators import RequestCoordinator
+from .entry_vms import EntryVm, EntryVms, rendezvous_order
+from .events import (
+    CallerDatagram,
+    CatalogueRead,
+    DispatchEnded,
+    DrainRequested,
+    Event,
+    GossipFailed,
+    GossipReceived,
+    GossipReplied,
+    HandoverReceived,
+    HandoverReplied,
+    InnerDatagram,
+    LoadReported,
+    ProbeFailed,
+    Tick,
+    VmListRead,
+)
+from .forwarders import Forwarder
+from .gossips import Gossip
+from .handovers import Handover
+from .invariants import Invariants
+from .keys import KeyRing
+from .limits import LimitShares
+from .nodes import Node
+from .publications import Publications
+from .settings import CoreSettings
+
+MAX_TICK_SECONDS = 0.25
+SWEEP_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who an entry VM is; `incarnation` must rise from one start to the next."""
+
+    name: str
+    incarnation: int
+    zone: str
+    inner_address: Address
+    control_address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeTarget:
+    """A backend server whose load is to be read."""
+
+    server: str
+    incarnation: int
+    address: Address
+
+
+class Balancer:
+    """Decides for one entry VM.
+
+    Args:
+        random: the only source of chance.
+        strict: whether a violated invariant raises.
+        seeds: control addresses to ask while no other entry VM is known.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        settings: CoreSettings,
+        keys: KeyRing,
+        random: Random,
+        now: float,
+        strict: bool = False,
+        seeds: tuple[Address, ...] = (),
+    ):
+        self._node = _make_node(identity, settings, keys, random, now, strict)
+        self._publications = Publications(self._node)
+        self._coordinator = RequestCoordinator(self._node)
+        admission = FlowAdmission(self._node)
+        self._forwarder = Forwarder(self._node, admission, self._coordinator)
+        self._gossip = Gossip(self._node, self._coordinator, self._publications, seeds)
+        self._handover = Handover(self._node, self._coordinator)
+        self._sweep_at = now
+
+    @property
+    def node(self) -> Node:
+        """The aggregates, for reading."""
+        return self._node
+
+    @property
+    def running(self) -> int:
+        """How many requests are with backend servers."""
+        return self._coordinator.running
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a backend server."""
+        return self._coordinator.waiting
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop was requested."""
+        return self._node.draining_until is not None
+
+    def next_tick_at(self, now: float) -> float:
+        """Returns the latest time for the next `Tick`, in epoch seconds."""
+        due = min(self._gossip.next_due(), self._coordinator.next_due(now))
+        return min(max(due, now), now + MAX_TICK_SECONDS)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Handles one event at `now` (epoch seconds) and returns what is to be done."""
+        match event:
+            case CallerDatagram(caller=caller, payload=payload):
+                return self._forwarder.from_caller(caller, payload, now)
+            case InnerDatagram(sender=sender, payload=payload):
+                return self._forwarder.from_inside(sender, payload, now)
+            case DispatchEnded():
+                return self._coordinator.end_dispatch(event, now)
+            case Tick():
+                return self._tick(now)
+            case LoadReported() | ProbeFailed():
+                return self._take_probe(event, now)
+            case _:
+                return self._handle_control(event, now)
+
+    def is_reader(self) -> bool:
+        """Tells whether this entry VM reads the platform itself.
+
+        A few in each availability zone do, chosen by hash; the others are told by gossip.
+        """
+        node = self._node
+        near = [vm.name for vm in node.entry_vms.active() if vm.zone == node.own.zone]
+        order = rendezvous_order("reader", [node.own.name, *near])
+        return node.own.name in order[: node.settings.control.readers_per_zone]
+
+    def probe_targets(self) -> list[ProbeTarget]:
+        """Returns the backend servers whose load is to be read."""
+        servers = self._node.servers.values()
+        return [
+            ProbeTarget(server.name, server.incarnation, server.http_address)
+            for server in servers
+            if not server.gone
+        ]
+
+    def charge_control(self, size: int, now: float) -> None:
+        """Counts control bytes that a task of the daemon has sent."""
+        self._node.control_bytes.charge(size, now)
+        self._node.counters["control_bytes_sent"] += size
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state as plain data, for operators."""
+        node = self._node
+        return {
+            "entry_vm": asdict(node.own) | {"draining_until": node.draining_until},
+            "catalogue_through": node.catalogue.through,
+            "vms_through": node.vm_list.through,
+            "flows": len(node.flows),
+            "running": self._coordinator.running,
+            "waiting": self._coordinator.waiting,
+            "entry_vms": [asdict(vm) for vm in node.entry_vms.others()],
+            "backend_servers": [asdict(server) for server in node.servers.values()],
+            "catalogue": [entry.name for entry in node.catalogue.values() if not entry.retired],
+            "retired": [entry.name for entry in node.catalogue.values() if entry.retired],
+            "counters": dict(node.counters),
+            "violations": {str(key): n for key, n in node.invariants.violations.items()},
+        }
+
+    def _handle_control(self, event: Event, now: float) -> list[Action]:
+        match event:
+            case CatalogueRead(records=records, through=through):
+                self._publications.take_catalogue(records, through)
+                self._gossip.hurry(now)
+                return []
+            case VmListRead(records=records, through=through):
+                self._publications.take_vms(records, through, now)
+                self._gossip.hurry(now)
+                return []
+            case GossipReceived():
+                return self._gossip.receive(event, now)
+            case GossipReplied():
+                return self._gossip.take_reply(event, now)
+            case GossipFailed():
+                return self._gossip.fail(event, now)
+            case HandoverReceived():
+                return self._handover.adopt(event, now)
+            case HandoverReplied():
+                return self._handover.end_batch(event, now)
+            case DrainRequested(deadline=deadline):
+                actions = self._handover.start(deadline, now)
+                self._gossip.hurry(now)
+                return actions
+            case _:
+                raise TypeError(f"unknown event {event!r}")
+
+    def _take_probe(self, event: LoadReported | ProbeFailed, now: float) -> list[Action]:
+        server = self._node.servers.get(event.server)
+        if server is None or server.incarnation != event.incarnation:
+            return []
+        match event:
+            case LoadReported():
+                server.take_report(event)
+            case ProbeFailed():
+                server.take_failure()
+                self._node.servers.eject_if_bad(server, now)
+        return []
+
+    def _tick(self, now: float) -> list[Action]:
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_SECONDS
+            self._node.flows.expire(now)
+            self._node.limits.expire(now)
+            self._node.entry_vms.expire_suspicions(now)
+        actions = self._coordinator.tick(now)
+        actions += self._handover.step(now)
+        return actions + self._gossip.tick(now)
+
+
+def _make_node(
+    identity: Identity,
+    settings: CoreSettings,
+    keys: KeyRing,
+    random: Random,
+    now: float,
+    strict: bool,
+) -> Node:
+    times = settings.times
+    control = settings.control
+    own = EntryVm(
+        identity.name,
+        identity.incarnation,
+        identity.zone,
+        identity.inner_address,
+        identity.control_address,
+    )
+    return Node(
+        settings=settings,
+        own=own,
+        keys=keys,
+        random=random,
+        invariants=Invariants(strict),
+        entry_vms=EntryVms(own, times.suspicion),
+        limits=LimitShares(identity.name, identity.zone, times.limit_hold, times.clock_error),
+        control_bytes=TokenBucket(control.bytes_per_second, control.burst_bytes, now),
+    )
--- /dev/null
+++ b/marjoramford/commands.py
@@ -0,0 +1,181 @@
+"""The command line: one class, one method a command.
+
+Exit status: 0 done; 1 a check or a promise failed; 2 bad usage or settings.
+"""
+
+import asyncio
+import json
+import sys
+import time
+import urllib.error
+import urllib.request
+
+from result import Err, Ok
+
+from .addresses import Address
+from .daemons import EntryVmDaemon
+from .deferrals import deferred
+from .logs import configure_logging
+from .settings import EntryVmSettings, read_settings
+from .standins.commands import StandinCommands
+from .standins.demos import Demo
+from .standins.deployments import DEPLOYMENTS, Deployment
+from .tables import render_demo
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+HTTP_SECONDS = 5.0
+POLL_SECONDS = 0.1
+
+
+class Commands:
+    """Marjoramford: a layer-4 load balancer that keeps established flows whole."""
+
+    def __init__(self) -> None:
+        self.standin = StandinCommands()
+
+    @deferred
+    def entry(self, settings: str) -> None:
+        """Runs an entry VM until its planned stop (SIGTERM) is complete.
+
+        Args:
+            settings: path of the YAML settings file.
+        """
+        checked = _read_settings(settings)
+        configure_logging(checked.log.style, checked.log.level)
+        asyncio.run(_run_entry_vm(checked))
+
+    @deferred
+    def check(self, settings: str) -> None:
+        """Checks a settings file and reports every mistake in it.
+
+        Args:
+            settings: path of the YAML settings file.
+        """
+        checked = _read_settings(settings)
+        print(f"{settings}: entry VM {checked.name} in {checked.zone}: settings are valid")
+
+    @deferred
+    def dump(self, at: str) -> None:
+        """Prints the state of an entry VM as JSON.
+
+        Args:
+            at: HOST:PORT of its control server.
+        """
+        print(json.dumps(_get(at, "/v1/state"), indent=2))
+
+    @deferred
+    def drain(self, at: str) -> None:
+        """Starts the planned stop of an entry VM.
+
+        Args:
+            at: HOST:PORT of its control server.
+        """
+        print(_call(at, "/v1/drain", "POST").decode().strip())
+
+    @deferred
+    def catalogue(self, at: str) -> None:
+        """Prints the catalogue that an entry VM has in force.
+
+        Args:
+            at: HOST:PORT of its control server.
+        """
+        view = _get(at, "/v1/catalogue")
+        print(f"revision {view['through']}")
+        for entry in sorted(view["entries"], key=lambda entry: entry["name"]):
+            state = "retired" if entry["retired"] else entry["service_class"]
+            limits = f"connections {entry['max_connections']}, load {entry['max_load']}"
+            print(f"{entry['name']:24} {state:10} {limits}, {entry['owner']}")
+
+    @deferred
+    def converged(self, revision: int, at: str, seconds: float = 18.0) -> None:
+        """Waits until a catalogue revision is in force on every entry VM named.
+
+        Args:
+            revision: the platform's revision to wait for.
+            at: HOST:PORT of the control servers, separated by commas.
+            seconds: how long to wait before failing.
+        """
+        deadline = time.monotonic() + seconds
+        places = list(at) if isinstance(at, (tuple, list)) else at.split(",")
+        while True:
+            behind = {place: found for place in places if (found := _revision(place)) < revision}
+            if not behind:
+                print(f"revision {revision} is in force on {len(places)} entry VMs")
+                return
+            if time.monotonic() >= deadline:
+                _fail(f"not in force: {behind}")
+            time.sleep(POLL_SECONDS)
+
+    @deferred
+    def demo(self, deployment: str = "heritage", seconds: float = 10.0, seed: int = 1) -> None:
+        """Runs every daemon and stand-in in this process, with changes and a failure.
+
+        One entry VM and one backend server leave as planned, an entry is reclassed, and one
+        entry VM is killed, while callers work. Exits 1 when a promise is broken.
+
+        Args:
+            deployment: heritage or grievance.
+            seconds: how long traffic is offered.
+            seed: seed of traffic and choices.
+        """
+        configure_logging("plain", "error")
+        report = asyncio.run(Demo(_deployment(deployment), seed, float(seconds)).run())
+        print(render_demo(deployment, report))
+        if not report.promises_kept:
+            sys.exit(EXIT_FAILED)
+
+
+async def _run_entry_vm(settings: EntryVmSettings) -> None:
+    daemon = EntryVmDaemon(settings)
+    daemon.install_signal_handlers()
+    await daemon.run()
+
+
+def _read_settings(path: str) -> EntryVmSettings:
+    match read_settings(str(path)):
+        case Ok(settings):
+            return settings
+        case Err(errors):
+            for error in errors:
+                print(error, file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+
+
+def _deployment(name: str) -> Deployment:
+    if name not in DEPLOYMENTS:
+        print(f"deployment: expected one of {', '.join(DEPLOYMENTS)}, got {name}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    return DEPLOYMENTS[name]
+
+
+def _get(at: str, path: str):
+    return json.loads(_call(at, path, "GET"))
+
+
+def _call(at: str, path: str, method: str) -> bytes:
+    try:
+        address = Address.parse(str(at))
+    except ValueError as error:
+        print(f"at: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    request = urllib.request.Request(f"http://{address}{path}", method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=HTTP_SECONDS) as response:
+            return response.read()
+    except (urllib.error.URLError, OSError) as error:
+        _fail(f"{method} {path} at {address}: {error}")
+
+
+def _revision(at: str) -> int:
+    try:
+        return _get(at, "/v1/state")["catalogue_through"]
+    except SystemExit as stop:
+        if stop.code == EXIT_USAGE:
+            raise
+        return -1
+
+
+def _fail(message: str):
+    print(message, file=sys.stderr)
+    sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/marjoramford/coordinators.py
@@ -0,0 +1,417 @@
+"""Decisions on requests; only the coordinator of a flow makes them."""
+
+import heapq
+import logging
+from collections import Counter
+from dataclasses import dataclass
+
+from .actions import Action, CancelDispatch, Dispatch, SendToCaller
+from .addresses import Address
+from .backend_servers import BackendServer
+from .budgets import RetryBudget
+from .choosers import POLICIES, Choice, choose
+from .events import AnsweredWhole, BrokenOff, DispatchEnded, DispatchOutcome, ProvedNotRun
+from .invariants import Invariant
+from .limits import Resource, Want
+from .logs import LogEvent, log_event
+from .messages import (
+    ANSWER_PIECE_BYTES,
+    MAX_ANSWER_PIECES,
+    MAX_REQUEST_BODY_BYTES,
+    Answer,
+    CoordinatorLost,
+    NotRun,
+    OutcomeUnknown,
+    Request,
+    encode,
+)
+from .nodes import Node
+from .queues import CLASS_RANKS, WaitingQueue
+from .records import KindRules
+from .requests import (
+    Answered,
+    Dispatched,
+    FinalState,
+    Flow,
+    Forgotten,
+    Fresh,
+    Refused,
+    Repeated,
+    RequestRecord,
+    Unknown,
+    Waiting,
+)
+from .tokens import Token
+
+logger = logging.getLogger(__name__)
+
+MIN_SHED_BACKOFF_SECONDS = 0.005
+MAX_SHED_BACKOFF_SECONDS = 1.0
+SHED_BACKOFF_SHARE = 0.25
+UNREACHABLE_BACKOFF_SECONDS = 0.5
+DEFAULT_RETRY_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    record: RequestRecord
+    server: BackendServer
+
+
+class RequestCoordinator:
+    """Queues, dispatches, retries and ends the requests of the flows coordinated here."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._policy = POLICIES[node.settings.load.policy]
+        self._queues: dict[str, WaitingQueue] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._running: dict[int, _Running] = {}
+        self._load: Counter[str] = Counter()
+        self._due: list[tuple[float, int, int]] = []
+        self._dispatches = 0
+
+    @property
+    def running(self) -> int:
+        """How many requests are with backend servers."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a backend server."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def load(self, service: str) -> int:
+        """Returns how many of a service's requests are with backend servers."""
+        return self._load[service]
+
+    def next_due(self, now: float) -> float:
+        """Returns when time alone next changes something, in epoch seconds."""
+        due = [self._due[0][0]] if self._due else []
+        for service, queue in self._queues.items():
+            if len(queue):
+                servers = self._node.servers.candidates(service, now)
+                due += [s.closed_until for s in servers if s.closed_until > now]
+        return min(due, default=float("inf"))
+
+    def decide(self, token: Token, request: Request, caller: Address, now: float) -> list[Action]:
+        """Decides on a request of a flow that is coordinated here."""
+        flow = self._node.flows.get(token.flow)
+        if flow is None:
+            return [SendToCaller(caller, encode(CoordinatorLost(token.flow)))]
+        node = self._node
+        ours = token.coordinator == node.coordinator or token.coordinator in node.adopted_from
+        node.invariants.check(ours, Invariant.COORDINATOR_DECIDES, token.coordinator)
+        match flow.admit(request.number):
+            case Repeated(record):
+                return self._report(record) if record.is_final else []
+            case Forgotten() if flow.frozen:
+                return []
+            case Forgotten():
+                reply = OutcomeUnknown(token.flow, request.number, "number was used before")
+                return [SendToCaller(caller, encode(reply))]
+            case Fresh():
+                return self._accept(flow, token, request, caller, now)
+
+    def end_dispatch(self, event: DispatchEnded, now: float) -> list[Action]:
+        """Takes the outcome of a dispatch, and gives the freed server more work."""
+        running = self._running.pop(event.dispatch, None)
+        if running is None:
+            self._node.counters["late_outcomes"] += 1
+            return []
+        record = running.record
+        running.server.in_progress -= 1
+        self._load[record.service] -= 1
+        self._take_evidence(running, event.outcome, now)
+        actions = self._after_dispatch(record, event.outcome, now)
+        return actions + self.pump(record.service, now)
+
+    def schedule_forgetting(self, number: int, now: float) -> None:
+        """Schedules the end of the records that came with an adopted flow."""
+        flow = self._node.flows.get(number)
+        for record in flow.records() if flow else ():
+            heapq.heappush(self._due, (max(record.deadline, now), number, record.number))
+
+    def tick(self, now: float) -> list[Action]:
+        """Ends overdue requests, forgets old records and retries waiting requests."""
+        actions: list[Action] = []
+        while self._due and self._due[0][0] <= now:
+            _, number, request = heapq.heappop(self._due)
+            actions += self._expire(number, request, now)
+        for service, queue in self._queues.items():
+            if len(queue):
+                actions += self.pump(service, now)
+        return actions
+
+    def pump(self, service: str, now: float) -> list[Action]:
+        """Dispatches waiting requests of a service while servers are open."""
+        queue = self._queues.get(service)
+        actions: list[Action] = []
+        while queue and len(queue):
+            record = queue.pop()
+            if record is None:
+                break
+            started = self._start(record, now)
+            if started is None:
+                queue.push(record, first=True)
+                break
+            actions.append(started)
+        return actions
+
+    def _accept(
+        self, flow: Flow, token: Token, request: Request, caller: Address, now: float
+    ) -> list[Action]:
+        rules = self._rules(token.service, request.kind)
+        latest = now + self._node.settings.times.max_request
+        record = RequestRecord(
+            flow=token.flow,
+            number=request.number,
+            service=token.service,
+            kind=request.kind,
+            idempotent=rules.idempotent,
+            deadline=min(request.deadline, latest),
+            body=request.body,
+            caller=caller,
+            state=Waiting(now),
+            sticky_server=token.server if rules.sticky else "",
+            priority=rules.priority,
+        )
+        flow.keep(record)
+        heapq.heappush(self._due, (max(record.deadline, now), token.flow, request.number))
+        self._node.counters["requests"] += 1
+        if not request.deadline > now:
+            return self._give_up(record, "deadline has passed", now)
+        if len(request.body) > MAX_REQUEST_BODY_BYTES:
+            return self._give_up(record, "body is too long", now)
+        self._budget(record.service).earn()
+        return self._start_or_queue(record, now)
+
+    def _rules(self, service: str, kind: str) -> KindRules:
+        entry = self._node.catalogue.get(service)
+        rules = entry.kind(kind) if entry else None
+        return rules or KindRules(kind)
+
+    def _start_or_queue(self, record: RequestRecord, now: float) -> list[Action]:
+        queue = self._queue(record.service)
+        if not len(queue):
+            started = self._start(record, now)
+            if started is not None:
+                return [started]
+        wait = queue.expected_wait(record.priority)
+        work = self._node.servers.mean_work_seconds(record.service)
+        if now + wait + work > record.deadline:
+            return self._give_up(record, "deadline cannot be met", now)
+        if len(queue) >= self._node.settings.load.max_waiting_per_service:
+            return self._give_up(record, "queue is full", now)
+        queue.push(record)
+        return self._bound_waiting(now)
+
+    def _bound_waiting(self, now: float) -> list[Action]:
+        if self.waiting <= self._node.settings.load.max_waiting:
+            return []
+        queues = [queue for queue in self._queues.values() if len(queue)]
+        lowest = max(queues, key=lambda queue: (queue.class_rank, len(queue)))
+        dropped = lowest.drop_last()
+        return self._give_up(dropped, "entry VM is overloaded", now) if dropped else []
+
+    def _start(self, record: RequestRecord, now: float) -> Dispatch | None:
+        node = self._node
+        if not self._has_load_share(record.service, now):
+            return None
+        server = self._choose(record, now)
+        if server is None:
+            return None
+        same = server.service == record.service
+        node.invariants.check(same, Invariant.SAME_SERVICE, (record.service, server.name))
+        self._dispatches += 1
+        record.dispatch(server.name, self._dispatches, now, node.invariants)
+        self._running[self._dispatches] = _Running(record, server)
+        server.in_progress += 1
+        self._load[record.service] += 1
+        node.counters["dispatches"] += 1
+        return Dispatch(
+            self._dispatches,
+            server.http_address,
+            record.service,
+            server.name,
+            server.incarnation,
+            record.flow,
+            record.number,
+            record.kind,
+            record.deadline,
+            record.body,
+        )
+
+    def _has_load_share(self, service: str, now: float) -> bool:
+        entry = self._node.catalogue.get(service)
+        if entry is None:
+            return True
+        limits = self._node.limits
+        available = limits.available(service, Resource.LOAD, entry.max_load, now)
+        if self._load[service] < available:
+            return True
+        self._node.want(Want(service, Resource.LOAD, max(1, entry.max_load // 8)))
+        return False
+
+    def _choose(self, record: RequestRecord, now: float) -> BackendServer | None:
+        node = self._node
+        if record.deadline <= now:
+            return None
+        sticky = node.servers.get(record.sticky_server) if record.sticky_server else None
+        if sticky is not None and sticky.takes_work and sticky.ejected_until <= now:
+            return sticky if sticky.is_open(now) else None
+        candidates = node.servers.candidates(record.service, now)
+        servers = [server for server in candidates if server.is_open(now)]
+        if not servers:
+            return None
+        mean_work = node.servers.mean_work_seconds(record.service)
+        key = f"{record.flow}/{record.number}"
+        choice = Choice(key, node.own.zone, mean_work, now)
+        return choose(self._policy, servers, choice, node.random)
+
+    def _take_evidence(self, running: _Running, outcome: DispatchOutcome, now: float) -> None:
+        server = running.server
+        servers = self._node.servers
+        match outcome:
+            case AnsweredWhole():
+                server.take_answer()
+                self._queue(running.record.service).note_completion(now)
+                if isinstance(running.record.state, Dispatched):
+                    servers.note_work(server.service, now - running.record.state.sent_at)
+            case ProvedNotRun(draining=True):
+                server.start_leaving("refusal")
+            case ProvedNotRun(mismatch=True):
+                server.gone = True
+            case ProvedNotRun(unreachable=True):
+                server.take_failure()
+                server.closed_until = now + UNREACHABLE_BACKOFF_SECONDS
+                servers.eject_if_bad(server, now)
+            case ProvedNotRun():
+                server.take_shed(now + self._shed_backoff(server))
+            case BrokenOff():
+                server.take_failure()
+                servers.eject_if_bad(server, now)
+
+    def _shed_backoff(self, server: BackendServer) -> float:
+        slot_frees = self._node.servers.mean_work_seconds(server.service) / max(1, server.slots)
+        backoff = slot_frees * SHED_BACKOFF_SHARE * self._node.random.uniform(0.5, 1.5)
+        return min(max(backoff, MIN_SHED_BACKOFF_SECONDS), MAX_SHED_BACKOFF_SECONDS)
+
+    def _after_dispatch(
+        self, record: RequestRecord, outcome: DispatchOutcome, now: float
+    ) -> list[Action]:
+        match outcome:
+            case AnsweredWhole(body=body) if len(body) <= ANSWER_PIECE_BYTES * MAX_ANSWER_PIECES:
+                return self._finish(record, Answered(body))
+            case AnsweredWhole():
+                return self._finish(record, Unknown("answer is too long"))
+            case ProvedNotRun():
+                record.not_run(now)
+                return self._retry(record, now)
+            case BrokenOff(reason=reason):
+                if not record.idempotent or not self._budget(record.service).spend():
+                    return self._finish(record, Unknown(reason))
+                record.broken(now)
+                return self._retry(record, now)
+
+    def _retry(self, record: RequestRecord, now: float) -> list[Action]:
+        if record.deadline <= now:
+            return self._give_up(record, "deadline has passed", now)
+        if self._budget(record.service).spend():
+            started = self._start(record, now)
+            if started is not None:
+                return [started]
+        self._queue(record.service).push(record, first=True)
+        return []
+
+    def _expire(self, number: int, request: int, now: float) -> list[Action]:
+        flow = self._node.flows.get(number)
+        record = flow.record(request) if flow else None
+        if flow is None or record is None:
+            return []
+        forget_at = record.deadline + self._node.settings.times.clock_error
+        if record.is_final and forget_at <= now:
+            flow.forget(request)
+            return []
+        heapq.heappush(self._due, (forget_at, number, request))
+        if record.is_final:
+            return []
+        actions = self._cancel(record)
+        return actions + self._give_up(record, "deadline has passed", now)
+
+    def _cancel(self, record: RequestRecord) -> list[Action]:
+        match record.state:
+            case Dispatched(dispatch=dispatch):
+                running = self._running.pop(dispatch)
+                running.server.in_progress -= 1
+                self._load[record.service] -= 1
+                return [CancelDispatch(dispatch)]
+            case _:
+                return []
+
+    def _give_up(self, record: RequestRecord, reason: str, now: float) -> list[Action]:
+        wait = self._queue(record.service).expected_wait(record.priority)
+        retry_at = now + max(wait, DEFAULT_RETRY_SECONDS)
+        record.give_up(reason, retry_at, self._node.invariants)
+        return self._ended(record)
+
+    def _finish(self, record: RequestRecord, final: FinalState) -> list[Action]:
+        record.finish(final, self._node.invariants)
+        return self._ended(record)
+
+    def _ended(self, record: RequestRecord) -> list[Action]:
+        match record.state:
+            case Answered():
+                self._node.counters["requests_answered"] += 1
+            case Refused(reason=reason):
+                self._node.counters["requests_refused"] += 1
+                log_event(logger, LogEvent.REQUEST_REFUSED, flow=record.flow, reason=reason)
+            case Unknown(reason=reason):
+                self._node.counters["requests_unknown"] += 1
+                log_event(logger, LogEvent.REQUEST_UNKNOWN, flow=record.flow, reason=reason)
+        return self._report(record)
+
+    def _report(self, record: RequestRecord) -> list[Action]:
+        return [SendToCaller(record.caller, payload) for payload in _final_datagrams(record)]
+
+    def _queue(self, service: str) -> WaitingQueue:
+        queue = self._queues.get(service)
+        entry = self._node.catalogue.get(service)
+        rank = CLASS_RANKS[entry.service_class if entry else "standard"]
+        if queue is None:
+            queue = WaitingQueue(rank)
+            self._queues[service] = queue
+        queue.class_rank = rank
+        return queue
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            load = self._node.settings.load
+            budget = RetryBudget(load.retry_share, load.retry_burst)
+            self._budgets[service] = budget
+        return budget
+
+
+def _final_datagrams(record: RequestRecord) -> list[bytes]:
+    match record.state:
+        case Answered(body=body):
+            starts = range(0, max(len(body), 1), ANSWER_PIECE_BYTES)
+            return [
+                encode(
+                    Answer(
+                        record.flow,
+                        record.number,
+                        piece,
+                        len(starts),
+                        body[start : start + ANSWER_PIECE_BYTES],
+                    )
+                )
+                for piece, start in enumerate(starts)
+            ]
+        case Refused(reason=reason, retry_at=retry_at):
+            return [encode(NotRun(record.flow, record.number, reason, retry_at))]
+        case Unknown(reason=reason):
+            return [encode(OutcomeUnknown(record.flow, record.number, reason))]
+        case _:
+            return []
--- /dev/null
+++ b/marjoramford/cores.py
@@ -0,0 +1,94 @@
+"""The task side of the decision core: hands it events and carries out its actions."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from . import signals
+from .actions import (
+    Action,
+    CancelDispatch,
+    Dispatch,
+    DrainFinished,
+    ReplyGossip,
+    ReplyHandover,
+    SendGossip,
+    SendHandover,
+    SendInner,
+    SendToCaller,
+)
+from .balancers import Balancer
+from .events import Event, Tick
+
+logger = logging.getLogger(__name__)
+
+Clock = Callable[[], float]
+
+
+class Core:
+    """Owns a balancer; all tasks of the daemon reach it through `submit`.
+
+    Attributes:
+        dispatches: orders for the dispatcher task.
+        posts: orders for the task that posts to other entry VMs.
+        drained: set when a planned stop is complete.
+    """
+
+    def __init__(self, balancer: Balancer, clock: Clock = time.time):
+        self.balancer = balancer
+        self.clock = clock
+        self.dispatches: asyncio.Queue[Dispatch | CancelDispatch] = asyncio.Queue()
+        self.posts: asyncio.Queue[SendGossip | SendHandover] = asyncio.Queue()
+        self.drained = asyncio.Event()
+        self._data: asyncio.DatagramTransport | None = None
+        self._inner: asyncio.DatagramTransport | None = None
+
+    def connect(self, data: asyncio.DatagramTransport, inner: asyncio.DatagramTransport) -> None:
+        """Gives the core the sockets on which it sends."""
+        self._data = data
+        self._inner = inner
+
+    def disconnect(self) -> None:
+        """Closes the sockets."""
+        for transport in (self._data, self._inner):
+            if transport is not None:
+                transport.close()
+
+    def submit(self, event: Event) -> bytes | None:
+        """Handles an event and carries out the actions; returns the reply to a peer, if any."""
+        reply = None
+        for action in self.balancer.handle(event, self.clock()):
+            payload = self._perform(action)
+            reply = payload if payload is not None else reply
+        return reply
+
+    async def run_timer(self) -> None:
+        """Submits a tick whenever one is due."""
+        while not self.drained.is_set():
+            now = self.clock()
+            await asyncio.sleep(max(0.001, self.balancer.next_tick_at(now) - now))
+            self.submit(Tick())
+
+    def _perform(self, action: Action) -> bytes | None:
+        match action:
+            case SendToCaller(caller=address, payload=payload):
+                _send(self._data, payload, address)
+            case SendInner(address=address, payload=payload):
+                _send(self._inner, payload, address)
+            case Dispatch() | CancelDispatch():
+                self.dispatches.put_nowait(action)
+            case SendGossip() | SendHandover():
+                self.posts.put_nowait(action)
+            case ReplyGossip(payload=payload) | ReplyHandover(payload=payload):
+                return payload
+            case DrainFinished():
+                if not self.drained.is_set():
+                    self.drained.set()
+                    signals.drained.send(self)
+        return None
+
+
+def _send(transport: asyncio.DatagramTransport | None, payload: bytes, address) -> None:
+    if transport is not None and not transport.is_closing():
+        transport.sendto(payload, (address.host, address.port))
--- /dev/null
+++ b/marjoramford/daemons.py
@@ -0,0 +1,133 @@
+"""The entry VM daemon: wires the tasks to the core and runs them."""
+
+import asyncio
+import logging
+import signal
+import time
+from collections.abc import Coroutine
+from random import Random
+
+from aiohttp import web
+
+from . import signals
+from .addresses import Address
+from .balancers import Balancer, Identity
+from .controls import ControlServer
+from .cores import Core
+from .datagrams import open_sockets
+from .dispatchers import Dispatcher
+from .events import DrainRequested
+from .keys import KeyRing
+from .logs import LogEvent, log_event
+from .peers import PeerClient
+from .probers import Prober
+from .settings import EntryVmSettings
+from .watchers import Watcher
+
+logger = logging.getLogger(__name__)
+
+
+class EntryVmDaemon:
+    """One entry VM. `run` returns when its planned stop is complete or it is stopped at once."""
+
+    def __init__(self, settings: EntryVmSettings, seed: int | None = None, strict: bool = False):
+        self._settings = settings
+        self._stop_at_once = asyncio.Event()
+        self._keys = KeyRing(
+            {key.id: bytes.fromhex(key.secret) for key in settings.keys}, settings.current_key
+        )
+        started_at = time.time()
+        balancer = Balancer(
+            _identity(settings, started_at),
+            settings,
+            self._keys,
+            Random(seed),
+            started_at,
+            strict,
+            tuple(Address.parse(seed) for seed in settings.seeds),
+        )
+        self.core = Core(balancer)
+
+    async def run(self) -> None:
+        """Serves until the planned stop is complete."""
+        settings = self._settings
+        await open_sockets(
+            self.core,
+            Address(settings.host, settings.data_port),
+            Address(settings.host, settings.inner_port),
+        )
+        control = ControlServer(self.core, self._keys, settings.times)
+        runner = web.AppRunner(control.make_app(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, settings.host, settings.http_port).start()
+        tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
+        log_event(logger, LogEvent.ENTRY_VM_STARTED, entry_vm=settings.name, zone=settings.zone)
+        signals.started.send(self)
+        try:
+            await self._wait_for_stop()
+        finally:
+            for task in tasks:
+                task.cancel()
+            self.core.disconnect()
+            await runner.cleanup()
+            log_event(logger, LogEvent.ENTRY_VM_STOPPED, entry_vm=settings.name)
+            signals.stopped.send(self)
+
+    def install_signal_handlers(self) -> None:
+        """Makes SIGTERM and SIGINT a planned stop, and a second one a stop at once."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+
+    def request_stop(self) -> None:
+        """Starts a planned stop; called again, stops at once."""
+        if not self.core.balancer.draining:
+            self.core.submit(DrainRequested(self.core.clock() + self._settings.times.drain))
+            return
+        balancer = self.core.balancer
+        cut = balancer.running + balancer.waiting
+        flows = len(balancer.node.flows)
+        log_event(logger, LogEvent.STOPPED_AT_ONCE, requests_cut=cut, flows_left=flows)
+        self._stop_at_once.set()
+
+    def _jobs(self) -> list[Coroutine]:
+        settings = self._settings
+        times = settings.times
+        return [
+            self.core.run_timer(),
+            Dispatcher(self.core).run(),
+            PeerClient(self.core, self._keys, times.gossip_timeout).run(),
+            Watcher(self.core, settings.platform, "catalogue", times).run(),
+            Watcher(self.core, settings.platform, "vms", times).run(),
+            Prober(self.core, settings).run(),
+        ]
+
+    async def _guard(self, job: Coroutine) -> None:
+        """Stops the daemon, and says why, when a task fails that should not end."""
+        try:
+            await job
+        except Exception:
+            log_event(logger, LogEvent.TASK_FAILED, task=job.__qualname__)
+            logger.exception("task failed")
+            self._stop_at_once.set()
+
+    async def _wait_for_stop(self) -> None:
+        waits = [
+            asyncio.create_task(self.core.drained.wait()),
+            asyncio.create_task(self._stop_at_once.wait()),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+
+def _identity(settings: EntryVmSettings, started_at: float) -> Identity:
+    return Identity(
+        settings.name,
+        int(started_at * 1000),
+        settings.zone,
+        Address(settings.host, settings.inner_port),
+        Address(settings.host, settings.http_port),
+    )
--- /dev/null
+++ b/marjoramford/entry_vms.py
@@ -0,0 +1,261 @@
+"""Membership: the entry VMs that this one knows, from the platform's list and from gossip.
+
+What is believed here only decides where to send. It never decides who may run a request.
+"""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Literal
+
+import msgspec
+import xxhash
+
+from .addresses import Address
+from .logs import LogEvent, log_event
+from .records import VmRecord
+from .tokens import Coordinator
+
+logger = logging.getLogger(__name__)
+
+MemberState = Literal["alive", "suspect", "lost", "leaving", "left"]
+_USABLE = ("alive", "suspect", "leaving")
+
+
+class MemberNews(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One entry VM as another saw it; `heartbeat` orders the news of one incarnation."""
+
+    name: str
+    incarnation: int
+    heartbeat: int
+    state: MemberState
+    zone: str
+    peer_address: Address
+    control_address: Address
+    successor: Coordinator | None = None
+
+
+@dataclass(slots=True)
+class EntryVm:
+    """An entry VM as this one sees it.
+
+    Attributes:
+        suspected_until: when a suspect is taken for lost, in epoch seconds.
+        transmissions: how often its latest news was passed on.
+        successor: the coordinator that took over its flows at a planned stop.
+    """
+
+    name: str
+    incarnation: int
+    zone: str
+    peer_address: Address
+    control_address: Address
+    heartbeat: int = 0
+    state: MemberState = "alive"
+    suspected_until: float = 0.0
+    successor: Coordinator | None = None
+    transmissions: int = 0
+    catalogue_through: int = 0
+    vms_through: int = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether datagrams may still be sent to it."""
+        return self.state in _USABLE
+
+    def news(self) -> MemberNews:
+        """Returns what gossip says of it."""
+        return MemberNews(
+            self.name,
+            self.incarnation,
+            self.heartbeat,
+            self.state,
+            self.zone,
+            self.peer_address,
+            self.control_address,
+            self.successor,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Here:
+    """This entry VM's own incarnation coordinates."""
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Another entry VM coordinates; relay to its address."""
+
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The coordinator is gone, as far as is known."""
+
+
+Whereabouts = Here | Elsewhere | Lost
+
+_STATE_RANK = {"alive": 0, "suspect": 1, "lost": 2, "leaving": 3, "left": 4}
+_MAX_SUCCESSORS = 8
+
+
+class EntryVms:
+    """The other entry VMs, and this one's own news."""
+
+    def __init__(self, own: EntryVm, suspicion_seconds: float):
+        self.own = own
+        self._suspicion_seconds = suspicion_seconds
+        self._others: dict[str, EntryVm] = {}
+
+    def __len__(self) -> int:
+        return len(self._others)
+
+    def others(self) -> Iterable[EntryVm]:
+        """Returns every other entry VM known, gone ones included."""
+        return self._others.values()
+
+    def get(self, name: str) -> EntryVm | None:
+        """Returns another entry VM by name."""
+        return self._others.get(name)
+
+    def active(self) -> list[EntryVm]:
+        """Returns the other entry VMs that take new flows."""
+        return [vm for vm in self._others.values() if vm.state == "alive"]
+
+    def reachable(self) -> list[EntryVm]:
+        """Returns the other entry VMs to which something may be sent."""
+        return [vm for vm in self._others.values() if vm.usable]
+
+    def apply_record(self, record: VmRecord) -> None:
+        """Takes an entry VM's record from the platform's list."""
+        if record.role != "entry" or record.name == self.own.name:
+            return
+        held = self._others.get(record.name)
+        if held is not None and record.incarnation < held.incarnation:
+            return
+        if held is None or record.incarnation > held.incarnation:
+            held = EntryVm(
+                record.name,
+                record.incarnation,
+                record.zone,
+                Address(record.host, record.inner_port),
+                Address(record.host, record.http_port),
+            )
+            self._others[record.name] = held
+        if record.state == "gone" and held.state != "left":
+            self._set_state(held, "lost")
+        elif record.state == "leaving" and held.usable:
+            self._set_state(held, "leaving")
+
+    def hear(self, news: MemberNews) -> None:
+        """Takes one entry VM's news from gossip."""
+        if news.name == self.own.name:
+            self._refute(news)
+            return
+        held = self._others.get(news.name)
+        if held is not None and not _is_newer(news, held):
+            return
+        if held is None or news.incarnation > held.incarnation:
+            held = EntryVm(
+                news.name, news.incarnation, news.zone, news.peer_address, news.control_address
+            )
+            self._others[news.name] = held
+        held.heartbeat = news.heartbeat
+        held.successor = news.successor or held.successor
+        if news.state != "suspect" or held.state == "alive":
+            self._set_state(held, news.state)
+
+    def confirm(self, name: str, incarnation: int) -> None:
+        """Notes that an incarnation answered: it is neither suspect nor lost."""
+        held = self._others.get(name)
+        if held is None or held.incarnation != incarnation:
+            return
+        if held.state in ("suspect", "lost"):
+            log_event(logger, LogEvent.ENTRY_VM_BACK, entry_vm=name)
+            self._set_state(held, "alive")
+
+    def suspect(self, name: str, incarnation: int, now: float) -> None:
+        """Notes that an incarnation did not answer."""
+        held = self._others.get(name)
+        if held is None or held.incarnation != incarnation or held.state != "alive":
+            return
+        held.suspected_until = now + self._suspicion_seconds
+        self._set_state(held, "suspect")
+        log_event(logger, LogEvent.ENTRY_VM_SUSPECTED, entry_vm=name)
+
+    def expire_suspicions(self, now: float) -> None:
+        """Takes suspects for lost whose time has run out."""
+        for vm in self._others.values():
+            if vm.state == "suspect":
+                vm.suspected_until = vm.suspected_until or now + self._suspicion_seconds
+                if vm.suspected_until <= now:
+                    self._set_state(vm, "lost")
+                    log_event(logger, LogEvent.ENTRY_VM_LEFT, entry_vm=vm.name, state="lost")
+
+    def locate(self, coordinator: Coordinator, known_address: Address) -> Whereabouts:
+        """Finds where a coordinator, or the successor of its flows, is.
+
+        An entry VM not yet known here is taken to be at `known_address`, from the token.
+        """
+        for _ in range(_MAX_SUCCESSORS):
+            if coordinator.entry_vm == self.own.name:
+                return Here() if coordinator.incarnation == self.own.incarnation else Lost()
+            vm = self._others.get(coordinator.entry_vm)
+            if vm is None or coordinator.incarnation > vm.incarnation:
+                reused = known_address == self.own.peer_address
+                return Lost() if reused else Elsewhere(known_address)
+            if coordinator.incarnation < vm.incarnation or vm.state == "lost":
+                return Lost()
+            if vm.state != "left":
+                return Elsewhere(vm.peer_address)
+            if vm.successor is None:
+                return Lost()
+            coordinator = vm.successor
+            successor = self._others.get(coordinator.entry_vm)
+            known_address = successor.peer_address if successor else known_address
+        return Lost()
+
+    def latest_successor(self, coordinator: Coordinator) -> EntryVm | None:
+        """Returns the entry VM that took over a coordinator's flows, if any is known."""
+        vm = self._find(coordinator)
+        for _ in range(_MAX_SUCCESSORS):
+            if vm is None or vm.state != "left" or vm.successor is None:
+                break
+            vm = self._find(vm.successor)
+        return vm if vm is not None and vm.state != "left" else None
+
+    def _find(self, coordinator: Coordinator) -> EntryVm | None:
+        known = self._others.get(coordinator.entry_vm)
+        vm = self.own if coordinator.entry_vm == self.own.name else known
+        return vm if vm is not None and vm.incarnation == coordinator.incarnation else None
+
+    def _refute(self, news: MemberNews) -> None:
+        own = self.own
+        doubted = news.state in ("suspect", "lost") and news.incarnation == own.incarnation
+        if doubted and news.heartbeat >= own.heartbeat:
+            own.heartbeat = news.heartbeat + 1
+            own.transmissions = 0
+
+    def _set_state(self, vm: EntryVm, state: MemberState) -> None:
+        if vm.state != state:
+            vm.state = state
+            vm.transmissions = 0
+            if state != "suspect":
+                vm.suspected_until = 0.0
+
+
+def _is_newer(news: MemberNews, held: EntryVm) -> bool:
+    if news.incarnation != held.incarnation:
+        return news.incarnation > held.incarnation
+    if held.state == "left":
+        return False
+    if news.heartbeat != held.heartbeat:
+        return news.heartbeat > held.heartbeat
+    return _STATE_RANK[news.state] > _STATE_RANK[held.state]
+
+
+def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
+    """Orders names by their hash with a key: the same order wherever the same names are known."""
+    prefix = f"{key}/".encode()
+    return sorted(names, key=lambda name: xxhash.xxh3_64_intdigest(prefix + name.encode()))
--- /dev/null
+++ b/marjoramford/flows.py
@@ -0,0 +1,82 @@
+"""The flows that an entry VM coordinates, counted by service and dropped when they expire."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from .requests import Flow
+
+EXPIRY_BUCKET_SECONDS = 10
+
+
+class FlowTable:
+    """Flows by number; expiry is checked a bucket at a time, so that renewal costs nothing."""
+
+    def __init__(self) -> None:
+        self._flows: dict[int, Flow] = {}
+        self._buckets: defaultdict[int, list[int]] = defaultdict(list)
+        self._open: Counter[str] = Counter()
+        self._on_server: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def __iter__(self) -> Iterator[int]:
+        return iter(self._flows)
+
+    def __contains__(self, number: int) -> bool:
+        return number in self._flows
+
+    def get(self, number: int) -> Flow | None:
+        """Returns a flow by its number."""
+        return self._flows.get(number)
+
+    def open_flows(self, service: str) -> int:
+        """Returns how many flows of a service are open here."""
+        return self._open[service]
+
+    def flows_on(self, server: str) -> int:
+        """Returns how many flows coordinated here go to a server."""
+        return self._on_server[server]
+
+    def add(self, number: int, flow: Flow) -> None:
+        """Adds a flow."""
+        self._flows[number] = flow
+        self._open[flow.service] += 1
+        self._on_server[flow.server] += 1
+        self._buckets[_bucket(flow.expires_at)].append(number)
+
+    def remove(self, number: int) -> Flow | None:
+        """Removes a flow, if it is there."""
+        flow = self._flows.pop(number, None)
+        if flow is not None:
+            self._open[flow.service] -= 1
+            self._on_server[flow.server] -= 1
+        return flow
+
+    def renew(self, number: int, expires_at: float) -> None:
+        """Moves a flow's expiry to a later time."""
+        flow = self._flows.get(number)
+        if flow is not None and expires_at > flow.expires_at:
+            flow.expires_at = expires_at
+
+    def expire(self, now: float) -> list[Flow]:
+        """Removes and returns the flows whose expiry has passed and that have no open request."""
+        expired = []
+        due = [bucket for bucket in self._buckets if bucket < _bucket(now)]
+        for bucket in due:
+            for number in self._buckets.pop(bucket):
+                flow = self._flows.get(number)
+                if flow is None:
+                    continue
+                if flow.expires_at > now:
+                    self._buckets[_bucket(flow.expires_at)].append(number)
+                elif flow.idle:
+                    self.remove(number)
+                    expired.append(flow)
+                else:
+                    self._buckets[_bucket(now) + 1].append(number)
+        return expired
+
+
+def _bucket(moment: float) -> int:
+    return int(moment // EXPIRY_BUCKET_SECONDS)
--- /dev/null
+++ b/marjoramford/forwarders.py
@@ -0,0 +1,243 @@
+"""The data path: callers' datagrams to backend servers and coordinators, and the way back."""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok
+
+from .actions import Action, SendInner, SendToCaller
+from .addresses import Address
+from .admissions import FlowAdmission, relay
+from .coordinators import RequestCoordinator
+from .entry_vms import Elsewhere, Here, Lost, Whereabouts
+from .keys import Purpose
+from .logs import LogEvent, log_event
+from .messages import (
+    Close,
+    CoordinatorLost,
+    Datagram,
+    Deliver,
+    Forward,
+    Mismatch,
+    Open,
+    Renew,
+    Renewed,
+    Request,
+    Return,
+    Send,
+    ServerLeaving,
+    ServerLost,
+    TokenRefused,
+    decode_from_caller,
+    decode_from_server,
+    decode_relay,
+    encode,
+)
+from .nodes import Node
+from .tokens import Coordinator, Label, Token, seal_label, seal_token, verify_label, verify_token
+
+logger = logging.getLogger(__name__)
+
+MAX_HOPS = 3
+MAX_CACHED_TOKENS = 4096
+_FIRST_ARRAY_BYTE = 0x90
+
+
+@dataclass(frozen=True, slots=True)
+class _Verified:
+    token: Token
+    label: bytes
+
+
+class Forwarder:
+    """Forwards by the token alone; keeps no memory of a flow but a bounded cache."""
+
+    def __init__(self, node: Node, admission: FlowAdmission, coordinator: RequestCoordinator):
+        self._node = node
+        self._admission = admission
+        self._coordinator = coordinator
+        self._verified: dict[bytes, _Verified] = {}
+
+    def from_caller(
+        self, caller: Address, payload: bytes, now: float, hops: int = 0
+    ) -> list[Action]:
+        """Handles a caller's datagram, direct or relayed by `hops` entry VMs."""
+        match decode_from_caller(payload):
+            case Err(reason):
+                return self._drop(LogEvent.DATAGRAM_DROPPED, caller, reason)
+            case Ok(Open() as message):
+                return self._admission.open(message, caller, hops, now)
+            case Ok(message):
+                return self._with_token(caller, message, payload, now, hops)
+
+    def from_inside(self, sender: Address, payload: bytes, now: float) -> list[Action]:
+        """Handles a datagram from a backend server or another entry VM."""
+        if payload and payload[0] < _FIRST_ARRAY_BYTE:
+            return self._from_peer(sender, payload, now)
+        match decode_from_server(payload):
+            case Err(reason):
+                return self._drop(LogEvent.DATAGRAM_DROPPED, sender, reason)
+            case Ok(message):
+                return self._from_server(sender, message, now)
+
+    def _from_peer(self, sender: Address, payload: bytes, now: float) -> list[Action]:
+        match self._node.keys.open(payload, Purpose.PEER).and_then(decode_relay):
+            case Err(reason):
+                return self._drop(LogEvent.PEER_REJECTED, sender, reason)
+            case Ok(message):
+                return self.from_caller(message.caller, message.payload, now, message.hops)
+
+    def _from_server(self, sender: Address, message: Return | Mismatch, now: float) -> list[Action]:
+        match verify_label(message.label, self._node.keys, now):
+            case Err(reason):
+                return self._drop(LogEvent.LABEL_REJECTED, sender, reason)
+            case Ok(label):
+                return self._return(label, message)
+
+    def _return(self, label: Label, message: Return | Mismatch) -> list[Action]:
+        match message:
+            case Return(body=body):
+                self._node.counters["datagrams_returned"] += 1
+                reply: Datagram = Deliver(label.stream, body)
+            case Mismatch():
+                self._note_mismatch(label)
+                reply = ServerLost(label.stream, "address belongs to another server")
+        return [SendToCaller(label.caller, encode(reply))]
+
+    def _note_mismatch(self, label: Label) -> None:
+        self._node.counters["mismatches"] += 1
+        server = self._node.servers.get(label.server)
+        if server is not None and server.incarnation == label.server_incarnation:
+            server.gone = True
+
+    def _with_token(
+        self, caller: Address, message, payload: bytes, now: float, hops: int
+    ) -> list[Action]:
+        verified = self._verified.get(message.token) or self._verify(message.token)
+        if verified is None:
+            return self._drop(LogEvent.TOKEN_REJECTED, caller, "does not verify")
+        token = verified.token
+        if token.caller != caller:
+            return self._drop(LogEvent.TOKEN_REJECTED, caller, "belongs to another caller")
+        if token.expires_at <= now:
+            self._node.counters["tokens_expired"] += 1
+            return [SendToCaller(caller, encode(TokenRefused("token has expired")))]
+        match message:
+            case Send(body=body):
+                return self._forward(verified, body)
+            case Request():
+                return self._request(token, message, payload, now, hops)
+            case Renew():
+                return self._renew(token, payload, now, hops)
+            case Close():
+                return self._close(token, payload, hops)
+
+    def _verify(self, sealed: bytes) -> _Verified | None:
+        token = verify_token(sealed, self._node.keys).ok()
+        if token is None:
+            return None
+        label = Label(
+            token.caller,
+            token.stream,
+            token.service,
+            token.server,
+            token.server_incarnation,
+            token.expires_at,
+        )
+        verified = _Verified(token, seal_label(label, self._node.keys))
+        if len(self._verified) >= MAX_CACHED_TOKENS:
+            self._verified.clear()
+        self._verified[sealed] = verified
+        return verified
+
+    def _forward(self, verified: _Verified, body: bytes) -> list[Action]:
+        token = verified.token
+        server = self._node.servers.get(token.server)
+        actions: list[Action] = []
+        if server is not None:
+            contradicted = server.incarnation > token.server_incarnation
+            if contradicted or server.service != token.service or server.gone:
+                self._node.counters["server_lost"] += 1
+                reply = ServerLost(token.stream, "backend server is gone")
+                return [SendToCaller(token.caller, encode(reply))]
+            if server.leaving:
+                reply = ServerLeaving(token.stream)
+                actions.append(SendToCaller(token.caller, encode(reply)))
+        self._node.counters["datagrams_forwarded"] += 1
+        forward = Forward(
+            token.service,
+            token.server,
+            token.server_incarnation,
+            token.stream,
+            verified.label,
+            body,
+        )
+        actions.append(SendInner(token.server_address, encode(forward)))
+        return actions
+
+    def _request(
+        self, token: Token, request: Request, payload: bytes, now: float, hops: int
+    ) -> list[Action]:
+        flow = self._node.flows.get(token.flow)
+        if flow is not None and not flow.moved:
+            actions = self._coordinator.decide(token, request, token.caller, now)
+            return actions + self._name_new_coordinator(token, now)
+        match self._locate(token):
+            case Elsewhere(address=address) if hops < MAX_HOPS:
+                self._node.counters["requests_relayed"] += 1
+                return [relay(self._node, address, token.caller, payload, hops)]
+            case Elsewhere():
+                return self._drop(LogEvent.DATAGRAM_DROPPED, token.caller, "too many hops")
+            case Here() | Lost():
+                self._node.counters["coordinators_lost"] += 1
+                return [SendToCaller(token.caller, encode(CoordinatorLost(token.flow)))]
+
+    def _locate(self, token: Token) -> Whereabouts:
+        successor = self._node.successor
+        flow = self._node.flows.get(token.flow)
+        if flow is not None and flow.moved and successor is not None:
+            return Elsewhere(successor.peer_address)
+        return self._node.entry_vms.locate(token.coordinator, token.peer_address)
+
+    def _name_new_coordinator(self, token: Token, now: float) -> list[Action]:
+        if token.coordinator == self._node.coordinator:
+            return []
+        return [self._renewed(token, now, token.expires_at)]
+
+    def _renewed(self, token: Token, now: float, expires_at: float) -> SendToCaller:
+        holder = self._node.entry_vms.latest_successor(token.coordinator)
+        if token.flow in self._node.flows:
+            holder = self._node.own
+        changes = {"issued_at": now, "expires_at": expires_at}
+        if holder is not None:
+            changes["coordinator"] = Coordinator(holder.name, holder.incarnation)
+            changes["peer_address"] = holder.peer_address
+        sealed = seal_token(msgspec.structs.replace(token, **changes), self._node.keys)
+        return SendToCaller(token.caller, encode(Renewed(token.flow, sealed, expires_at)))
+
+    def _renew(self, token: Token, payload: bytes, now: float, hops: int) -> list[Action]:
+        expires_at = now + self._node.settings.times.token_lifetime
+        self._node.flows.renew(token.flow, expires_at)
+        actions = self._tell_coordinator(token, payload, hops)
+        if hops == 0:
+            actions.append(self._renewed(token, now, expires_at))
+        return actions
+
+    def _close(self, token: Token, payload: bytes, hops: int) -> list[Action]:
+        flow = self._node.flows.get(token.flow)
+        if flow is not None and flow.idle and not flow.frozen:
+            self._node.flows.remove(token.flow)
+        return self._tell_coordinator(token, payload, hops)
+
+    def _tell_coordinator(self, token: Token, payload: bytes, hops: int) -> list[Action]:
+        match self._locate(token):
+            case Elsewhere(address=address) if hops < MAX_HOPS:
+                return [relay(self._node, address, token.caller, payload, hops)]
+            case _:
+                return []
+
+    def _drop(self, event: LogEvent, peer: Address, reason: str) -> list[Action]:
+        self._node.counters[event.name.lower()] += 1
+        log_event(logger, event, peer=peer, reason=reason)
+        return []
--- /dev/null
+++ b/marjoramford/gossips.py
@@ -0,0 +1,275 @@
+"""Gossip between entry VMs: membership, published records and leases, within a byte budget."""
+
+import logging
+
+import msgspec
+
+from .actions import Action, ReplyGossip, SendGossip
+from .addresses import Address
+from .coordinators import RequestCoordinator
+from .entry_vms import EntryVm, MemberNews
+from .events import GossipFailed, GossipReceived, GossipReplied
+from .invariants import Invariant
+from .limits import Lease, Resource, Want
+from .logs import LogEvent, log_event
+from .nodes import Node
+from .publications import Publications
+
+logger = logging.getLogger(__name__)
+
+HTTP_OVERHEAD_BYTES = 330
+URGENT_FANOUT = 2
+URGENT_INTERVAL_SECONDS = 0.2
+SAME_ZONE_SHARE = 0.7
+LOST_PEER_SHARE = 0.1
+NEWS_TRANSMISSIONS = 4
+FAREWELL_PEERS = 16
+MAX_LEASES = 32
+
+
+class RecordBatch(msgspec.Struct, frozen=True):
+    """Records as JSON, each decoded and checked alone by the receiver."""
+
+    records: tuple[msgspec.Raw, ...]
+    through: int
+
+
+class GossipMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one entry VM tells another, in a request or in its reply."""
+
+    sender: MemberNews
+    catalogue_through: int
+    vms_through: int
+    news: tuple[MemberNews, ...] = ()
+    wants: tuple[Want, ...] = ()
+    grants: tuple[Lease, ...] = ()
+    catalogue: RecordBatch | None = None
+    vms: RecordBatch | None = None
+
+
+class Gossip:
+    """Sends a round to one peer each interval, and sooner while there are changes to spread."""
+
+    def __init__(
+        self,
+        node: Node,
+        coordinator: RequestCoordinator,
+        publications: Publications,
+        seeds: tuple[Address, ...],
+    ):
+        self._node = node
+        self._coordinator = coordinator
+        self._publications = publications
+        self._seeds = seeds
+        self._next_round_at = 0.0
+        self._urgent_from: float | None = None
+        self._farewell_sent = False
+
+    def next_due(self) -> float:
+        """Returns when the next round is due, in epoch seconds."""
+        if self._urgent_from is None:
+            return self._next_round_at
+        return min(self._next_round_at, self._urgent_from)
+
+    def hurry(self, now: float) -> None:
+        """Asks for rounds before the interval is over, since there is something to spread."""
+        if self._urgent_from is None:
+            self._urgent_from = now + URGENT_INTERVAL_SECONDS
+
+    def tick(self, now: float) -> list[Action]:
+        """Sends the rounds that are due."""
+        node = self._node
+        if node.own.state == "left":
+            return self._farewell(now)
+        if node.wants:
+            self.hurry(now)
+        actions: list[Action] = []
+        if self._urgent_from is not None and now >= self._urgent_from:
+            self._urgent_from = None
+            actions += self._urgent_round(now)
+        if now >= self._next_round_at:
+            interval = node.settings.times.gossip_interval
+            self._next_round_at = now + interval * node.random.uniform(0.8, 1.2)
+            node.own.heartbeat += 1
+            actions += self._round(now)
+        return actions
+
+    def receive(self, event: GossipReceived, now: float) -> list[Action]:
+        """Takes a peer's round and answers it."""
+        message = self._decode(event.payload)
+        if message is None:
+            return [ReplyGossip(b"")]
+        self._take(message, now)
+        self._node.entry_vms.confirm(message.sender.name, message.sender.incarnation)
+        grants = tuple(self._grant(want, now) for want in message.wants[:MAX_LEASES])
+        sender = self._node.entry_vms.get(message.sender.name)
+        reply = self._message(sender, now, tuple(g for g in grants if g.amount))
+        payload = msgspec.json.encode(reply)
+        self._node.control_bytes.charge(len(payload) + HTTP_OVERHEAD_BYTES, now)
+        self._count_sent(len(payload))
+        return [ReplyGossip(payload)]
+
+    def take_reply(self, event: GossipReplied, now: float) -> list[Action]:
+        """Takes the reply to a round."""
+        message = self._decode(event.payload)
+        if message is None:
+            return []
+        self._take(message, now)
+        self._node.entry_vms.confirm(message.sender.name, message.sender.incarnation)
+        for lease in message.grants[:MAX_LEASES]:
+            self._node.limits.borrow(lease, now)
+            self._node.wants.pop((lease.service, lease.resource), None)
+        return []
+
+    def fail(self, event: GossipFailed, now: float) -> list[Action]:
+        """Notes that a peer did not answer."""
+        self._node.counters["gossip_failed"] += 1
+        self._node.entry_vms.suspect(event.peer, event.incarnation, now)
+        return []
+
+    def _round(self, now: float) -> list[Action]:
+        peer = self._draw_peer()
+        if peer is None:
+            return [self._to_seed(seed, now) for seed in self._draw_seeds()]
+        sent = self._send(peer, now)
+        return [sent] if sent else []
+
+    def _urgent_round(self, now: float) -> list[Action]:
+        peers = self._node.entry_vms.reachable()
+        behind = [vm for vm in peers if self._is_behind(vm)]
+        if self._node.wants:
+            behind = self._node.entry_vms.active()
+        chosen = self._node.random.sample(behind, min(URGENT_FANOUT, len(behind)))
+        if len(behind) > len(chosen):
+            self.hurry(now)
+        return [sent for sent in (self._send(peer, now) for peer in chosen) if sent]
+
+    def _is_behind(self, vm: EntryVm) -> bool:
+        node = self._node
+        return (
+            vm.catalogue_through < node.catalogue.through or vm.vms_through < node.vm_list.through
+        )
+
+    def _farewell(self, now: float) -> list[Action]:
+        if self._farewell_sent:
+            return []
+        self._farewell_sent = True
+        peers = self._node.entry_vms.reachable()
+        chosen = self._node.random.sample(peers, min(FAREWELL_PEERS, len(peers)))
+        return [sent for sent in (self._send(peer, now) for peer in chosen) if sent]
+
+    def _draw_peer(self) -> EntryVm | None:
+        random = self._node.random
+        lost = [vm for vm in self._node.entry_vms.others() if vm.state == "lost"]
+        if lost and random.random() < LOST_PEER_SHARE:
+            return random.choice(lost)
+        peers = self._node.entry_vms.reachable()
+        near = [vm for vm in peers if vm.zone == self._node.own.zone]
+        if near and random.random() < SAME_ZONE_SHARE:
+            return random.choice(near)
+        return random.choice(peers) if peers else None
+
+    def _draw_seeds(self) -> list[Address]:
+        own = self._node.own.control_address
+        seeds = [seed for seed in self._seeds if seed != own]
+        return self._node.random.sample(seeds, min(1, len(seeds)))
+
+    def _to_seed(self, seed: Address, now: float) -> SendGossip:
+        payload = msgspec.json.encode(self._message(None, now))
+        self._node.control_bytes.charge(len(payload) + HTTP_OVERHEAD_BYTES, now)
+        self._count_sent(len(payload))
+        return SendGossip("", 0, seed, payload)
+
+    def _send(self, peer: EntryVm, now: float) -> SendGossip | None:
+        node = self._node
+        payload = msgspec.json.encode(self._message(peer, now))
+        if not node.control_bytes.take(len(payload) + HTTP_OVERHEAD_BYTES, now):
+            node.counters["gossip_over_budget"] += 1
+            return None
+        held = node.control_bytes.level(now) >= 0
+        node.invariants.check(held, Invariant.BYTE_BUDGET, peer.name)
+        self._count_sent(len(payload))
+        return SendGossip(peer.name, peer.incarnation, peer.control_address, payload)
+
+    def _message(
+        self, peer: EntryVm | None, now: float, grants: tuple[Lease, ...] = ()
+    ) -> GossipMessage:
+        node = self._node
+        wants = tuple(node.wants.values())[:MAX_LEASES] if not grants else ()
+        affordable = int(node.control_bytes.level(now)) - HTTP_OVERHEAD_BYTES
+        catalogue = vms = None
+        if peer is not None:
+            catalogue = self._batch(node.catalogue, peer.catalogue_through, affordable // 2)
+            vms = self._batch(node.vm_list, peer.vms_through, affordable // 2)
+        return GossipMessage(
+            node.own.news(),
+            node.catalogue.through,
+            node.vm_list.through,
+            self._news(),
+            wants,
+            grants,
+            catalogue,
+            vms,
+        )
+
+    def _batch(self, store, after: int, affordable: int) -> RecordBatch | None:
+        if after >= store.through:
+            return None
+        batch = store.since(after, self._node.settings.control.records_per_gossip)
+        raws: list[msgspec.Raw] = []
+        through = after
+        for record in batch.records:
+            encoded = msgspec.json.encode(record)
+            affordable -= len(encoded)
+            if affordable < 0:
+                return RecordBatch(tuple(raws), through) if raws else None
+            raws.append(msgspec.Raw(encoded))
+            through = record.revision
+        return RecordBatch(tuple(raws), batch.through)
+
+    def _news(self) -> tuple[MemberNews, ...]:
+        fresh = sorted(self._node.entry_vms.others(), key=lambda vm: vm.transmissions)
+        chosen = [vm for vm in fresh if vm.transmissions < NEWS_TRANSMISSIONS]
+        chosen = chosen[: self._node.settings.control.news_per_gossip]
+        for vm in chosen:
+            vm.transmissions += 1
+        return tuple(vm.news() for vm in chosen)
+
+    def _decode(self, payload: bytes) -> GossipMessage | None:
+        try:
+            return msgspec.json.decode(payload, type=GossipMessage)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            self._node.counters["gossip_rejected"] += 1
+            log_event(logger, LogEvent.CONTROL_BODY_REJECTED, step="gossip", reason=str(error))
+            return None
+
+    def _take(self, message: GossipMessage, now: float) -> None:
+        entry_vms = self._node.entry_vms
+        for news in (message.sender, *message.news):
+            entry_vms.hear(news)
+        sender = entry_vms.get(message.sender.name)
+        if sender is not None:
+            sender.catalogue_through = message.catalogue_through
+            sender.vms_through = message.vms_through
+        if message.catalogue is not None:
+            batch = message.catalogue
+            self._publications.take_catalogue(batch.records, batch.through)
+        if message.vms is not None:
+            batch = message.vms
+            self._publications.take_vms(batch.records, batch.through, now)
+
+    def _grant(self, want: Want, now: float) -> Lease:
+        node = self._node
+        entry = node.catalogue.get(want.service)
+        expires_at = now + node.settings.times.limit_lease
+        if entry is None or entry.retired or want.amount < 1:
+            return Lease(want.service, want.resource, 0, expires_at)
+        match want.resource:
+            case Resource.CONNECTIONS:
+                limit, in_use = entry.max_connections, node.flows.open_flows(want.service)
+            case Resource.LOAD:
+                limit, in_use = entry.max_load, self._coordinator.load(want.service)
+        return node.limits.lend(want, limit, in_use, expires_at, now)
+
+    def _count_sent(self, size: int) -> None:
+        self._node.counters["control_bytes_sent"] += size + HTTP_OVERHEAD_BYTES
--- /dev/null
+++ b/marjoramford/handovers.py
@@ -0,0 +1,308 @@
+"""Planned stop of a coordinator: its flows are frozen, then move to one successor."""
+
+import logging
+from dataclasses import dataclass
+from itertools import islice
+
+import msgspec
+
+from .actions import Action, DrainFinished, ReplyHandover, SendHandover
+from .addresses import Address
+from .coordinators import RequestCoordinator
+from .entry_vms import EntryVm, rendezvous_order
+from .events import HandoverReceived, HandoverReplied
+from .invariants import Invariant
+from .logs import LogEvent, log_event
+from .nodes import Node
+from .requests import Answered, Flow, Refused, RequestRecord, Unknown
+from .tokens import Coordinator
+
+logger = logging.getLogger(__name__)
+
+FLOWS_PER_BATCH = 200
+MAX_BATCHES_IN_FLIGHT = 4
+RESEND_SECONDS = 0.5
+
+
+class FinalRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A request's final state, kept for retransmissions; which fields are set tells which."""
+
+    number: int
+    deadline: float
+    kind: str
+    answer: bytes | None = None
+    refused_until: float | None = None
+    reason: str = ""
+
+
+class FlowState(msgspec.Struct, frozen=True):
+    """A frozen flow: its window of request numbers and the final states kept."""
+
+    number: int
+    service: str
+    server: str
+    caller: Address | None
+    expires_at: float
+    highest: int
+    seen: int
+    finals: tuple[FinalRecord, ...] = ()
+
+
+class HandoverBatch(msgspec.Struct, frozen=True):
+    """Flows on their way to the successor; a batch is sent to one successor only."""
+
+    sender: Coordinator
+    origins: tuple[Coordinator, ...]
+    successor: Coordinator
+    batch: int
+    flows: tuple[FlowState, ...]
+
+
+class HandoverReply(msgspec.Struct, frozen=True):
+    """Whether the successor coordinates a batch's flows now; if not, it adopted none."""
+
+    batch: int
+    adopted: bool
+
+
+@dataclass(slots=True)
+class _InFlight:
+    payload: bytes
+    numbers: tuple[int, ...]
+    resend_at: float
+
+
+class Handover:
+    """Both sides of the move of flows at a planned stop."""
+
+    def __init__(self, node: Node, coordinator: RequestCoordinator):
+        self._node = node
+        self._coordinator = coordinator
+        self._in_flight: dict[int, _InFlight] = {}
+        self._unsent: dict[int, None] = {}
+        self._batches = 0
+        self._adopted: set[tuple[Coordinator, int]] = set()
+        self._refused = False
+        self._exit_at: float | None = None
+
+    @property
+    def finished(self) -> bool:
+        """Whether this entry VM has left."""
+        return self._exit_at is not None
+
+    def start(self, deadline: float, now: float) -> list[Action]:
+        """Begins the planned stop: no new flows from now on."""
+        node = self._node
+        if node.draining_until is not None:
+            return []
+        node.draining_until = deadline
+        node.own.state = "leaving"
+        node.own.heartbeat += 1
+        node.successor = self._choose_successor()
+        self._unsent = dict.fromkeys(node.flows)
+        log_event(logger, LogEvent.DRAIN_STARTED, flows=len(node.flows), deadline=deadline)
+        return self.step(now)
+
+    def step(self, now: float) -> list[Action]:
+        """Freezes idle flows, sends them on, and ends when nothing is left or time is up."""
+        node = self._node
+        if node.draining_until is None:
+            return []
+        if self._exit_at is not None:
+            return [DrainFinished()] if now >= self._exit_at else []
+        actions = self._resend(now)
+        while self._may_send():
+            numbers = tuple(islice(self._idle_flows(), FLOWS_PER_BATCH))
+            if not numbers:
+                break
+            actions.append(self._send(numbers, now))
+        if self._is_complete() or now >= node.draining_until:
+            self._leave(now)
+        return actions
+
+    def end_batch(self, event: HandoverReplied, now: float) -> list[Action]:
+        """Takes the successor's reply; without one the batch stays frozen and is sent again."""
+        in_flight = self._in_flight.get(event.batch)
+        if in_flight is None:
+            return []
+        adopted = self._reply(event)
+        if adopted is None:
+            in_flight.resend_at = now + RESEND_SECONDS
+            log_event(logger, LogEvent.HANDOVER_FAILED, batch=event.batch)
+            return []
+        del self._in_flight[event.batch]
+        for number in in_flight.numbers:
+            flow = self._node.flows.get(number)
+            if flow is not None and adopted:
+                flow.confirm_move()
+        self._refused = self._refused or not adopted
+        return self.step(now)
+
+    def adopt(self, event: HandoverReceived, now: float) -> list[Action]:
+        """Takes over a leaving coordinator's flows; a batch received again changes nothing."""
+        try:
+            batch = msgspec.json.decode(event.payload, type=HandoverBatch)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            log_event(logger, LogEvent.CONTROL_BODY_REJECTED, step="hand over", reason=str(error))
+            return [ReplyHandover(msgspec.json.encode(HandoverReply(0, False)))]
+        adopted = self._adopt(batch, now)
+        return [ReplyHandover(msgspec.json.encode(HandoverReply(batch.batch, adopted)))]
+
+    def _adopt(self, batch: HandoverBatch, now: float) -> bool:
+        node = self._node
+        key = (batch.sender, batch.batch)
+        if key in self._adopted:
+            return True
+        if batch.successor != node.coordinator or node.draining_until is not None:
+            return False
+        self._adopted.add(key)
+        node.adopted_from.update(batch.origins)
+        for state in batch.flows:
+            if state.number not in node.flows:
+                node.flows.add(state.number, _thaw(state))
+                self._coordinator.schedule_forgetting(state.number, now)
+        log_event(
+            logger, LogEvent.HANDOVER_ADOPTED, sender=batch.sender.entry_vm, flows=len(batch.flows)
+        )
+        return True
+
+    def _choose_successor(self) -> EntryVm | None:
+        active = self._node.entry_vms.active()
+        own = self._node.own
+        near = [vm for vm in active if vm.zone == own.zone] or active
+        by_name = {vm.name: vm for vm in near}
+        order = rendezvous_order(own.name, by_name)
+        return by_name[order[0]] if order else None
+
+    def _may_send(self) -> bool:
+        if self._node.successor is None or self._refused:
+            return False
+        return len(self._in_flight) < MAX_BATCHES_IN_FLIGHT
+
+    def _idle_flows(self):
+        for number in list(self._unsent):
+            flow = self._node.flows.get(number)
+            if flow is None:
+                del self._unsent[number]
+            elif flow.idle:
+                yield number
+
+    def _send(self, numbers: tuple[int, ...], now: float) -> SendHandover:
+        node = self._node
+        successor = node.successor
+        assert successor is not None
+        states = []
+        for number in numbers:
+            self._unsent.pop(number)
+            flow = node.flows.get(number)
+            assert flow is not None
+            flow.freeze()
+            node.invariants.check(flow.frozen and flow.idle, Invariant.FROZEN_HANDOVER, number)
+            states.append(_freeze(number, flow))
+        self._batches += 1
+        batch = HandoverBatch(
+            node.coordinator,
+            (node.coordinator, *node.adopted_from),
+            Coordinator(successor.name, successor.incarnation),
+            self._batches,
+            tuple(states),
+        )
+        payload = msgspec.json.encode(batch)
+        self._in_flight[self._batches] = _InFlight(payload, numbers, float("inf"))
+        log_event(logger, LogEvent.HANDOVER_SENT, batch=self._batches, flows=len(states))
+        return SendHandover(self._batches, successor.name, successor.control_address, payload)
+
+    def _resend(self, now: float) -> list[Action]:
+        successor = self._node.successor
+        actions: list[Action] = []
+        for number, in_flight in self._in_flight.items():
+            if successor is not None and in_flight.resend_at <= now:
+                in_flight.resend_at = float("inf")
+                actions.append(
+                    SendHandover(
+                        number, successor.name, successor.control_address, in_flight.payload
+                    )
+                )
+        return actions
+
+    def _is_complete(self) -> bool:
+        if self._coordinator.running or self._coordinator.waiting or self._in_flight:
+            return False
+        return not self._unsent or self._node.successor is None or self._refused
+
+    def _leave(self, now: float) -> None:
+        node = self._node
+        successor = node.successor
+        node.own.state = "left"
+        node.own.heartbeat += 1
+        if successor is not None and any(
+            flow.moved for flow in map(node.flows.get, node.flows) if flow is not None
+        ):
+            node.own.successor = Coordinator(successor.name, successor.incarnation)
+        self._exit_at = now + node.settings.times.drain_linger
+        cut = self._coordinator.running + self._coordinator.waiting
+        log_event(logger, LogEvent.DRAIN_FINISHED, requests_cut=cut, unmoved=len(self._unsent))
+
+    def _reply(self, event: HandoverReplied) -> bool | None:
+        if event.payload is None:
+            return None
+        try:
+            return msgspec.json.decode(event.payload, type=HandoverReply).adopted
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return None
+
+
+def _freeze(number: int, flow: Flow) -> FlowState:
+    records = list(flow.records())
+    return FlowState(
+        number,
+        flow.service,
+        flow.server,
+        records[0].caller if records else None,
+        flow.expires_at,
+        flow.highest,
+        flow.seen,
+        tuple(_final_record(record) for record in records),
+    )
+
+
+def _final_record(record: RequestRecord) -> FinalRecord:
+    match record.state:
+        case Answered(body=body):
+            return FinalRecord(record.number, record.deadline, record.kind, answer=body)
+        case Refused(reason=reason, retry_at=retry_at):
+            return FinalRecord(
+                record.number, record.deadline, record.kind, refused_until=retry_at, reason=reason
+            )
+        case Unknown(reason=reason):
+            return FinalRecord(record.number, record.deadline, record.kind, reason=reason)
+        case state:
+            raise AssertionError(f"a request in state {state} cannot be handed over")
+
+
+def _thaw(state: FlowState) -> Flow:
+    flow = Flow(state.service, state.server, state.expires_at, state.highest, state.seen)
+    for final in state.finals:
+        assert state.caller is not None
+        flow.keep(
+            RequestRecord(
+                flow=state.number,
+                number=final.number,
+                service=state.service,
+                kind=final.kind,
+                idempotent=False,
+                deadline=final.deadline,
+                body=b"",
+                caller=state.caller,
+                state=_final_state(final),
+            )
+        )
+    return flow
+
+
+def _final_state(final: FinalRecord) -> Answered | Refused | Unknown:
+    if final.answer is not None:
+        return Answered(final.answer)
+    if final.refused_until is not None:
+        return Refused(final.reason, final.refused_until)
+    return Unknown(final.reason)
--- /dev/null
+++ b/marjoramford/invariants.py
@@ -0,0 +1,50 @@
+"""Invariants asserted inside the program.
+
+Strict mode raises, and is used in tests and randomised runs. Otherwise a violation is counted and
+logged, and the process goes on serving.
+"""
+
+import logging
+from collections import Counter
+from enum import StrEnum
+
+from .errors import InvariantViolationError
+from .logs import LogEvent, log_event
+
+logger = logging.getLogger(__name__)
+
+
+class Invariant(StrEnum):
+    """The promises that the program asserts about itself."""
+
+    DISPATCH_BEFORE_DEADLINE = "no dispatch after the deadline"
+    SINGLE_DISPATCH = "no second dispatch of a non-idempotent request that may have run"
+    TRUTHFUL_NOT_RUN = "no 'not run' while a dispatch may have run"
+    SAME_SERVICE = "the token's service is the server's service"
+    REVISION_RISES = "a record's revision never falls"
+    LIMIT_HELD = "a local share of a limit is never exceeded"
+    BYTE_BUDGET = "the control byte budget is never exceeded"
+    ONE_FINAL_STATE = "a request reaches exactly one final state"
+    COORDINATOR_DECIDES = "only the coordinator decides on a request"
+    FROZEN_HANDOVER = "a record is handed over only when frozen"
+
+
+class Invariants:
+    """Checks invariants, and raises or counts each violation."""
+
+    def __init__(self, strict: bool = False):
+        self.strict = strict
+        self.violations: Counter[Invariant] = Counter()
+
+    def check(self, holds: bool, invariant: Invariant, detail: object = "") -> None:
+        """Records a violation of `invariant` unless it `holds`.
+
+        Raises:
+            InvariantViolationError: in strict mode, when it does not hold.
+        """
+        if holds:
+            return
+        self.violations[invariant] += 1
+        if self.strict:
+            raise InvariantViolationError(f"{invariant}: {detail}")
+        log_event(logger, LogEvent.INVARIANT_VIOLATED, invariant=str(invariant), detail=str(detail))
--- /dev/null
+++ b/marjoramford/keys.py
@@ -0,0 +1,52 @@
+"""The key ring that authenticates tokens, labels and peer datagrams."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from enum import Enum
+
+from result import Err, Ok, Result
+
+MAC_BYTES = 16
+HEADER_BYTES = 1 + MAC_BYTES
+
+
+class Purpose(Enum):
+    """What a sealed payload is for; a seal for one purpose never verifies for another."""
+
+    TOKEN = b"mf-token"
+    LABEL = b"mf-label"
+    PEER = b"mf-peer"
+    CONTROL = b"mf-control"
+
+
+class KeyRing:
+    """Seals with the current key and opens with any key it holds.
+
+    A sealed payload is the key's number (1 byte), a keyed BLAKE2b code (16 bytes), the payload.
+    """
+
+    def __init__(self, keys: Mapping[int, bytes], current: int):
+        self._keys = dict(keys)
+        self._current = current
+
+    def seal(self, payload: bytes, purpose: Purpose) -> bytes:
+        """Returns the payload behind its key number and authentication code."""
+        code = _code(self._keys[self._current], payload, purpose)
+        return bytes((self._current,)) + code + payload
+
+    def open(self, sealed: bytes, purpose: Purpose) -> Result[bytes, str]:
+        """Returns the payload, or the reason why it does not verify."""
+        if len(sealed) < HEADER_BYTES:
+            return Err("sealed payload is too short")
+        key = self._keys.get(sealed[0])
+        if key is None:
+            return Err(f"key {sealed[0]} is not in the key ring")
+        payload = sealed[HEADER_BYTES:]
+        if not hmac.compare_digest(sealed[1:HEADER_BYTES], _code(key, payload, purpose)):
+            return Err("authentication code does not match")
+        return Ok(payload)
+
+
+def _code(key: bytes, payload: bytes, purpose: Purpose) -> bytes:
+    return hashlib.blake2b(payload, digest_size=MAC_BYTES, key=key, person=purpose.value).digest()
--- /dev/null
+++ b/marjoramford/logs.py
@@ -0,0 +1,112 @@
+"""Numbered log events, their formatters and a bound on their rate."""
+
+import logging
+import time
+from enum import IntEnum
+
+from pythonjsonlogger.json import JsonFormatter
+
+MAX_EVENTS_PER_SECOND = 20
+
+
+class LogEvent(IntEnum):
+    """Every event the program logs; the catalogue is docs/events.md."""
+
+    ENTRY_VM_STARTED = 100
+    ENTRY_VM_STOPPED = 101
+    DRAIN_STARTED = 102
+    DRAIN_FINISHED = 103
+    STOPPED_AT_ONCE = 104
+    DATAGRAM_DROPPED = 200
+    TOKEN_REJECTED = 201
+    LABEL_REJECTED = 202
+    PEER_REJECTED = 203
+    CONTROL_BODY_REJECTED = 204
+    CATALOGUE_APPLIED = 300
+    CATALOGUE_ENTRY_REJECTED = 301
+    PLATFORM_UNREACHABLE = 302
+    PLATFORM_BACK = 303
+    VM_LIST_APPLIED = 304
+    ENTRY_VM_SUSPECTED = 400
+    ENTRY_VM_LEFT = 401
+    ENTRY_VM_BACK = 402
+    HANDOVER_SENT = 403
+    HANDOVER_ADOPTED = 404
+    HANDOVER_FAILED = 405
+    SERVER_EJECTED = 500
+    SERVER_READMITTED = 501
+    SERVER_LEAVING = 502
+    SERVER_REPORT_DISTRUSTED = 503
+    DISPATCH_FAILED = 504
+    REQUEST_REFUSED = 600
+    REQUEST_UNKNOWN = 601
+    INVARIANT_VIOLATED = 900
+    TASK_FAILED = 901
+
+
+_LEVELS = {
+    LogEvent.INVARIANT_VIOLATED: logging.ERROR,
+    LogEvent.TASK_FAILED: logging.ERROR,
+    LogEvent.STOPPED_AT_ONCE: logging.WARNING,
+    LogEvent.PLATFORM_UNREACHABLE: logging.WARNING,
+    LogEvent.HANDOVER_FAILED: logging.WARNING,
+    LogEvent.CATALOGUE_ENTRY_REJECTED: logging.WARNING,
+    LogEvent.REQUEST_REFUSED: logging.DEBUG,
+    LogEvent.REQUEST_UNKNOWN: logging.DEBUG,
+}
+
+
+class RateLimit(logging.Filter):
+    """Passes a bounded number of records a second for each event number."""
+
+    def __init__(self, per_second: int = MAX_EVENTS_PER_SECOND):
+        super().__init__()
+        self._per_second = per_second
+        self._second = 0
+        self._passed: dict[int, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tells whether the record may be written."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._passed.clear()
+        event = getattr(record, "event", 0)
+        self._passed[event] = self._passed.get(event, 0) + 1
+        return self._passed[event] <= self._per_second
+
+
+class PlainFormatter(logging.Formatter):
+    """One line a record: time, level, event number and name, fields."""
+
+    converter = time.gmtime
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Formats a record with its event's number and fields."""
+        fields = getattr(record, "fields", {})
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        stamp = self.formatTime(record, "%Y-%m-%dT%H:%M:%SZ")
+        number = int(getattr(record, "event", 0))
+        line = f"{stamp} {record.levelname} {number:03d} {record.getMessage()} {text}".rstrip()
+        if record.exc_info:
+            return f"{line}\n{self.formatException(record.exc_info)}"
+        return line
+
+
+def log_event(logger: logging.Logger, event: LogEvent, **fields: object) -> None:
+    """Logs a numbered event with its fields."""
+    level = _LEVELS.get(event, logging.INFO)
+    if logger.isEnabledFor(level):
+        extra = {"event": int(event), "fields": fields}
+        logger.log(level, event.name.lower().replace("_", " "), extra=extra)
+
+
+def configure_logging(style: str, level: str) -> None:
+    """Sends the package's log to standard error in `style` (``plain`` or ``json``)."""
+    handler = logging.StreamHandler()
+    handler.addFilter(RateLimit())
+    handler.setFormatter(JsonFormatter("%(asctime)s") if style == "json" else PlainFormatter())
+    package = logging.getLogger(__package__)
+    package.handlers[:] = [handler]
+    package.setLevel(level.upper())
+    package.propagate = False
--- /dev/null
+++ b/marjoramford/nodes.py
@@ -0,0 +1,55 @@
+"""The state that the parts of the decision core share."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from .backend_servers import BackendServers
+from .budgets import TokenBucket
+from .entry_vms import EntryVm, EntryVms
+from .flows import FlowTable
+from .invariants import Invariants
+from .keys import KeyRing
+from .limits import LimitShares, Want
+from .records import CatalogueEntry, RecordStore, VmRecord
+from .settings import CoreSettings
+from .tokens import Coordinator
+
+
+@dataclass(slots=True)
+class Node:
+    """One entry VM's aggregates and its identity.
+
+    Attributes:
+        draining_until: when a planned stop must be finished, in epoch seconds; None if none.
+        successor: the entry VM that takes over the flows at a planned stop.
+        adopted_from: leaving coordinators whose flows this one took over.
+        wants: wishes for larger shares, sent with the next gossip.
+    """
+
+    settings: CoreSettings
+    own: EntryVm
+    keys: KeyRing
+    random: Random
+    invariants: Invariants
+    entry_vms: EntryVms
+    limits: LimitShares
+    control_bytes: TokenBucket
+    catalogue: RecordStore[CatalogueEntry] = field(default_factory=RecordStore)
+    vm_list: RecordStore[VmRecord] = field(default_factory=RecordStore)
+    servers: BackendServers = field(default_factory=BackendServers)
+    flows: FlowTable = field(default_factory=FlowTable)
+    counters: Counter[str] = field(default_factory=Counter)
+    wants: dict[tuple[str, str], Want] = field(default_factory=dict)
+    draining_until: float | None = None
+    successor: EntryVm | None = None
+    adopted_from: set[Coordinator] = field(default_factory=set)
+
+    @property
+    def coordinator(self) -> Coordinator:
+        """Returns this incarnation as a coordinator of flows."""
+        return Coordinator(self.own.name, self.own.incarnation)
+
+    def want(self, want: Want) -> None:
+        """Asks for a larger share of a limit with the next gossip."""
+        self.wants[(want.service, want.resource)] = want
--- /dev/null
+++ b/marjoramford/peers.py
@@ -0,0 +1,73 @@
+"""Posts to other entry VMs: gossip and handed-over flows."""
+
+import asyncio
+
+import aiohttp
+
+from .actions import SendGossip, SendHandover
+from .addresses import Address
+from .cores import Core
+from .events import GossipFailed, GossipReplied, HandoverReplied
+from .keys import KeyRing
+from .seals import SEAL_HEADER, seal_header, verify_body
+
+HANDOVER_TIMEOUT_SECONDS = 2.0
+MAX_REPLY_BYTES = 1_048_576
+
+
+class PeerClient:
+    """Carries out posts; each ends in one event."""
+
+    def __init__(self, core: Core, keys: KeyRing, gossip_timeout: float):
+        self._core = core
+        self._keys = keys
+        self._gossip_timeout = gossip_timeout
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Takes orders from the core until cancelled."""
+        async with aiohttp.ClientSession(skip_auto_headers=("User-Agent", "Accept")) as session:
+            while True:
+                order = await self._core.posts.get()
+                task = asyncio.create_task(self._carry_out(session, order))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(
+        self, session: aiohttp.ClientSession, order: SendGossip | SendHandover
+    ) -> None:
+        match order:
+            case SendGossip():
+                payload = await self._post(
+                    session, order.address, "gossip", order.payload, self._gossip_timeout
+                )
+                if payload:
+                    self._core.submit(GossipReplied(order.peer, payload))
+                else:
+                    self._core.submit(GossipFailed(order.peer, order.incarnation))
+            case SendHandover():
+                payload = await self._post(
+                    session, order.address, "handover", order.payload, HANDOVER_TIMEOUT_SECONDS
+                )
+                self._core.submit(HandoverReplied(order.batch, payload))
+
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        address: Address,
+        path: str,
+        body: bytes,
+        seconds: float,
+    ) -> bytes | None:
+        headers = {"Content-Type": "application/json"} | seal_header(body, self._keys)
+        timeout = aiohttp.ClientTimeout(total=seconds)
+        url = f"http://{address}/v1/{path}"
+        try:
+            async with session.post(url, data=body, headers=headers, timeout=timeout) as response:
+                if response.status != 200:
+                    return None
+                reply = await response.content.read(MAX_REPLY_BYTES)
+                seal = response.headers.get(SEAL_HEADER, "")
+                return verify_body(seal, reply, self._keys).ok()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
--- /dev/null
+++ b/marjoramford/probers.py
@@ -0,0 +1,74 @@
+"""Reads backend servers' load endpoints, as often as the control budget allows."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from .balancers import ProbeTarget
+from .cores import Core
+from .events import LoadReported, ProbeFailed
+from .settings import EntryVmSettings
+
+REQUEST_BYTES = 130
+PROBE_TIMEOUT_SECONDS = 1.0
+MAX_LOAD_BYTES = 4096
+
+
+class Load(msgspec.Struct, frozen=True):
+    """What a load endpoint answers; `measured_at` is in epoch seconds."""
+
+    busy: int
+    slots: int
+    draining: bool = False
+    measured_at: float = 0.0
+
+
+class Prober:
+    """Probes every backend server in turn, spread evenly over an interval."""
+
+    def __init__(self, core: Core, settings: EntryVmSettings):
+        self._core = core
+        self._min_interval = settings.times.min_probe_interval
+        self._bytes_per_second = settings.control.bytes_per_second * settings.control.probe_share
+        self._tasks: set[asyncio.Task] = set()
+
+    def interval(self, targets: int) -> float:
+        """Returns how long one round over all servers takes, in seconds."""
+        return max(self._min_interval, targets * REQUEST_BYTES / self._bytes_per_second)
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        headers = ("User-Agent", "Accept", "Accept-Encoding")
+        async with aiohttp.ClientSession(skip_auto_headers=headers) as session:
+            while True:
+                targets = self._core.balancer.probe_targets()
+                if not targets:
+                    await asyncio.sleep(self._min_interval / 4)
+                for target in targets:
+                    task = asyncio.create_task(self._probe(session, target))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+                    await asyncio.sleep(self.interval(len(targets)) / len(targets))
+
+    async def _probe(self, session: aiohttp.ClientSession, target: ProbeTarget) -> None:
+        self._core.balancer.charge_control(REQUEST_BYTES, self._core.clock())
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+        url = f"http://{target.address}/load"
+        try:
+            async with session.get(url, timeout=timeout) as response:
+                body = await response.content.read(MAX_LOAD_BYTES)
+            load = msgspec.json.decode(body, type=Load)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            self._core.submit(ProbeFailed(target.server, target.incarnation))
+            return
+        self._core.submit(
+            LoadReported(
+                target.server,
+                target.incarnation,
+                load.busy,
+                load.slots,
+                load.draining,
+                min(load.measured_at or self._core.clock(), self._core.clock()),
+            )
+        )
--- /dev/null
+++ b/marjoramford/publications.py
@@ -0,0 +1,76 @@
+"""What the platform publishes, applied to the aggregates in the order of its revisions."""
+
+import logging
+from collections.abc import Iterable
+
+from result import Err, Ok
+
+from .invariants import Invariant
+from .logs import LogEvent, log_event
+from .nodes import Node
+from .records import CatalogueEntry, VmRecord, decode_record
+
+logger = logging.getLogger(__name__)
+
+
+class Publications:
+    """Applies catalogue entries and VM records, from the platform or from peers."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._has_fleet = False
+
+    def take_catalogue(self, raws: Iterable[bytes], through: int) -> None:
+        """Applies entries given as JSON; an invalid one is rejected alone."""
+        for raw in raws:
+            match decode_record(raw, CatalogueEntry):
+                case Ok(entry):
+                    self._apply_entry(entry)
+                case Err(reason):
+                    self._reject(reason)
+        self._node.catalogue.advance(through)
+
+    def take_vms(self, raws: Iterable[bytes], through: int, now: float) -> None:
+        """Applies VM records given as JSON; an invalid one is rejected alone."""
+        for raw in raws:
+            match decode_record(raw, VmRecord):
+                case Ok(record):
+                    self._apply_vm(record)
+                case Err(reason):
+                    self._reject(reason)
+        self._node.vm_list.advance(through)
+        self._update_fleet(now)
+
+    def _apply_entry(self, entry: CatalogueEntry) -> None:
+        held = self._node.catalogue.get(entry.name)
+        before = held.revision if held else 0
+        if self._node.catalogue.apply(entry):
+            log_event(
+                logger, LogEvent.CATALOGUE_APPLIED, service=entry.name, revision=entry.revision
+            )
+        newest = self._node.catalogue.get(entry.name)
+        risen = newest is not None and newest.revision >= before
+        self._node.invariants.check(risen, Invariant.REVISION_RISES, entry.name)
+
+    def _apply_vm(self, record: VmRecord) -> None:
+        if not self._node.vm_list.apply(record):
+            return
+        self._node.servers.apply_record(record)
+        self._node.entry_vms.apply_record(record)
+
+    def _update_fleet(self, now: float) -> None:
+        zones: dict[str, list[str]] = {}
+        for record in self._node.vm_list.values():
+            if record.role == "entry" and record.state == "live":
+                zones.setdefault(record.zone, []).append(record.name)
+        if not zones:
+            return
+        own = self._node.vm_list.get(self._node.own.name)
+        hold = self._node.settings.times.limit_hold
+        settled = not self._has_fleet and own is not None and own.listed_at + hold <= now
+        self._has_fleet = True
+        self._node.limits.set_fleet(zones, settled, now)
+
+    def _reject(self, reason: str) -> None:
+        self._node.counters["records_rejected"] += 1
+        log_event(logger, LogEvent.CATALOGUE_ENTRY_REJECTED, reason=reason)
--- /dev/null
+++ b/marjoramford/records.py
@@ -0,0 +1,179 @@
+"""Records that the platform publishes, and the monotonic store that every entry VM keeps of them.
+
+A record has a key and a revision that the platform gave to its last change. Revisions rise over
+the whole collection, so a store that has taken every change up to `through` can be brought up to
+date by any other store, and applying a change twice or late has no effect.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Annotated, Generic, Literal, Protocol, TypeVar
+
+import msgspec
+from msgspec import Meta
+from result import Err, Ok, Result
+from sortedcontainers import SortedDict
+
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Revision = Annotated[int, Meta(ge=1)]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Count = Annotated[int, Meta(ge=0, le=10**9)]
+
+
+class KindRules(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How requests of one kind are treated.
+
+    Attributes:
+        idempotent: whether running it twice does no harm.
+        sticky: whether it goes to the flow's own server while that takes work.
+        priority: lower numbers go first when the service is overloaded.
+    """
+
+    name: Name
+    idempotent: bool = False
+    sticky: bool = False
+    priority: Annotated[int, Meta(ge=0, le=9)] = 5
+
+
+class CatalogueEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service as its operators publish it.
+
+    Attributes:
+        revision: the platform's number of this entry's last change.
+        added_at_revision: revision at which the service was added; the service's incarnation.
+        max_connections: open flows over the whole fleet.
+        max_load: requests in progress over the whole fleet.
+        retired: the service takes no new flows; open flows go on to their end.
+    """
+
+    name: Name
+    revision: Revision
+    added_at_revision: Revision
+    owner: Annotated[str, Meta(max_length=128)]
+    service_class: Literal["critical", "standard", "bulk"]
+    max_connections: Count
+    max_load: Count
+    kinds: Annotated[tuple[KindRules, ...], Meta(max_length=32)] = ()
+    retired: bool = False
+
+    @property
+    def key(self) -> str:
+        """The record's key in its collection."""
+        return self.name
+
+    def kind(self, name: str) -> KindRules | None:
+        """Returns the rules of a kind of request, if the entry names it."""
+        return next((kind for kind in self.kinds if kind.name == name), None)
+
+
+class VmRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry VM or a backend server in the platform's list of live and leaving VMs.
+
+    Attributes:
+        incarnation: rises each time a VM of this name is started.
+        data_port: UDP, from callers (entry VMs) or from entry VMs (backend servers).
+        inner_port: UDP, from other entry VMs and backend servers; 0 for backend servers.
+        http_port: TCP, control (entry VMs) or requests, load and health (backend servers).
+        slots: requests that a backend server runs at a time; 0 when not published.
+        listed_at: when the VM came on the list, in epoch seconds.
+    """
+
+    name: Name
+    revision: Revision
+    incarnation: Annotated[int, Meta(ge=0)]
+    role: Literal["entry", "server"]
+    zone: Name
+    host: Annotated[str, Meta(min_length=1, max_length=64)]
+    data_port: Port
+    http_port: Port
+    inner_port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    service: str = ""
+    slots: Annotated[int, Meta(ge=0, le=10000)] = 0
+    listed_at: float = 0.0
+    state: Literal["live", "leaving", "gone"] = "live"
+
+    @property
+    def key(self) -> str:
+        """The record's key in its collection."""
+        return self.name
+
+
+class Record(Protocol):
+    """What a record store needs of a record."""
+
+    revision: int
+
+    @property
+    def key(self) -> str:
+        """The record's key in its collection."""
+
+
+R = TypeVar("R", bound=Record)
+
+
+@dataclass(frozen=True, slots=True)
+class Batch(Generic[R]):
+    """Records in order of revision; with them a store has every change up to `through`."""
+
+    records: tuple[R, ...]
+    through: int
+
+
+class RecordStore(Generic[R]):
+    """The newest known record of each key; a key's revision never falls."""
+
+    def __init__(self) -> None:
+        self._through = 0
+        self._by_key: dict[str, R] = {}
+        self._by_revision: SortedDict = SortedDict()
+
+    @property
+    def through(self) -> int:
+        """The revision up to which no change is missing."""
+        return self._through
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def get(self, key: str) -> R | None:
+        """Returns the newest record of a key."""
+        return self._by_key.get(key)
+
+    def values(self) -> Iterable[R]:
+        """Returns the newest record of every key, retired ones included."""
+        return self._by_key.values()
+
+    def apply(self, record: R) -> bool:
+        """Takes a record if it is newer than the one held; tells whether it was."""
+        held = self._by_key.get(record.key)
+        if held is not None:
+            if record.revision <= held.revision:
+                return False
+            del self._by_revision[held.revision]
+        self._by_key[record.key] = record
+        self._by_revision[record.revision] = record
+        return True
+
+    def advance(self, through: int) -> None:
+        """Notes that no change up to `through` is missing."""
+        self._through = max(self._through, through)
+
+    def since(self, after: int, limit: int) -> Batch[R]:
+        """Returns at most `limit` records changed after revision `after`.
+
+        Records beyond `through` are left out: the receiver could not tell what is missing between.
+        """
+        chosen = []
+        for revision in self._by_revision.irange(after + 1, self._through):
+            if len(chosen) == limit:
+                return Batch(tuple(chosen), chosen[-1].revision)
+            chosen.append(self._by_revision[revision])
+        return Batch(tuple(chosen), self._through)
+
+
+def decode_record(raw: bytes, record_type: type[R]) -> Result[R, str]:
+    """Decodes and checks one record from JSON."""
+    try:
+        return Ok(msgspec.json.decode(raw, type=record_type))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Err(str(error))
--- /dev/null
+++ b/marjoramford/signals.py
@@ -0,0 +1,7 @@
+"""Signals by which other code may extend a daemon without changing it."""
+
+from blinker import signal
+
+started = signal("entry-vm-started")
+drained = signal("entry-vm-drained")
+stopped = signal("entry-vm-stopped")
--- /dev/null
+++ b/marjoramford/standins/caller_sessions.py
@@ -0,0 +1,373 @@
+"""A caller without I/O: opens a flow, repeats what is not answered, and judges what it gets."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Literal
+
+import msgspec
+from result import Err, Ok
+
+from ..messages import (
+    Answer,
+    Close,
+    CoordinatorLost,
+    Deliver,
+    NotRun,
+    Open,
+    Opened,
+    OpenRefused,
+    OutcomeUnknown,
+    Renew,
+    Renewed,
+    Request,
+    Send,
+    ServerLeaving,
+    ServerLost,
+    TokenRefused,
+    decode_from_entry_vm,
+    encode,
+)
+from .streams import (
+    WINDOW_PIECES,
+    BoardPiece,
+    Follow,
+    UploadPiece,
+    UploadState,
+    answer_body,
+    board_piece,
+    decode_body,
+    encode_body,
+    upload_digest,
+    upload_piece,
+)
+
+RESEND_SECONDS = 0.25
+STREAM_SECONDS = 0.2
+BROKEN_AFTER_SECONDS = 6.0
+REOPEN_AFTER_SECONDS = 2.0
+RENEW_SHARE = 0.5
+
+Result = Literal["whole", "not_run", "unknown"]
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request that has no outcome yet."""
+
+    work: bytes
+    kind: str
+    deadline: float
+    sent_at: float
+    datagram: bytes = b""
+    resend_at: float = 0.0
+    pieces: dict[int, bytes] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a request ended, as the caller saw it."""
+
+    work: bytes
+    kind: str
+    result: Result
+    reason: str
+    seconds: float
+
+
+@dataclass(slots=True)
+class Board:
+    """A board or draft stream that the caller follows."""
+
+    began_at: float
+    have: int = 0
+    progressed_at: float = 0.0
+    longest_gap: float = 0.0
+
+
+@dataclass(slots=True)
+class Upload:
+    """An upload from the caller."""
+
+    number: int
+    total: int
+    have: int = 0
+    restarts: int = 0
+    whole: bool = False
+    progressed_at: float = 0.0
+
+
+class CallerSession:
+    """One flow of one caller, with its requests and at most one stream.
+
+    Attributes:
+        outcomes: requests that ended.
+        foreign: answers or pieces that were not this caller's own.
+        reopened: how often the flow was opened again, by cause.
+    """
+
+    def __init__(self, service: str, random: Random, name: str):
+        self.service = service
+        self.name = name
+        self.board: Board | None = None
+        self.upload: Upload | None = None
+        self.outcomes: list[Outcome] = []
+        self.foreign = 0
+        self.open_refusals = 0
+        self.reopened: dict[str, int] = {}
+        self.token = b""
+        self._random = random
+        self._previous = b""
+        self._flow = 0
+        self._stream = 0
+        self._renew_at = float("inf")
+        self._nonce = random.getrandbits(32)
+        self._open_at = 0.0
+        self._stalled_again_at = 0.0
+        self._stream_at = 0.0
+        self._numbers = 0
+        self._pending: dict[int, Pending] = {}
+        self._unsent: list[Pending] = []
+        self._works = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the flow has a token."""
+        return bool(self.token)
+
+    @property
+    def pending(self) -> int:
+        """How many requests have no outcome yet."""
+        return len(self._pending) + len(self._unsent)
+
+    def request(self, kind: str, deadline: float, now: float) -> bytes:
+        """Asks for one piece of work and returns its identifier."""
+        self._works += 1
+        work = f"{self.name}-{self._works}".encode()
+        self._unsent.append(Pending(work, kind, deadline, now))
+        return work
+
+    def follow_board(self, now: float) -> None:
+        """Begins to follow a board."""
+        self.board = Board(began_at=now, progressed_at=now)
+
+    def start_upload(self, total: int, now: float) -> None:
+        """Begins an upload of `total` pieces."""
+        self.upload = Upload(self._random.getrandbits(32), total, progressed_at=now)
+
+    def close(self) -> list[bytes]:
+        """Returns the datagrams that end the flow."""
+        return [encode(Close(self.token))] if self.token else []
+
+    def stalled(self, now: float) -> bool:
+        """Tells whether the stream has stood still for so long that it counts as broken."""
+        return self._idle_seconds(now) > BROKEN_AFTER_SECONDS
+
+    def poll(self, now: float) -> list[bytes]:
+        """Returns the datagrams that are due."""
+        self._expire(now)
+        self._reopen_if_stalled(now)
+        if not self.token:
+            return self._poll_open(now)
+        datagrams = []
+        for pending in self._unsent:
+            datagrams.append(self._first_send(pending, now))
+        self._unsent.clear()
+        for pending in self._pending.values():
+            if pending.resend_at <= now:
+                pending.resend_at = now + RESEND_SECONDS
+                datagrams.append(pending.datagram)
+        if self._renew_at <= now:
+            self._renew_at = now + RESEND_SECONDS
+            datagrams.append(encode(Renew(self.token)))
+        if self._stream_at <= now:
+            self._stream_at = now + STREAM_SECONDS
+            datagrams += [encode(Send(self.token, body)) for body in self._stream_bodies()]
+        return datagrams
+
+    def receive(self, payload: bytes, now: float) -> None:
+        """Takes a datagram from an entry VM."""
+        match decode_from_entry_vm(payload):
+            case Ok(message):
+                self._take(message, now)
+            case Err():
+                self.foreign += 1
+
+    def _take(self, message, now: float) -> None:
+        match message:
+            case Opened():
+                self._take_opened(message, now)
+            case OpenRefused(nonce=nonce, retry_at=retry_at) if nonce == self._nonce:
+                self.open_refusals += 1
+                self._open_at = max(now + RESEND_SECONDS, retry_at)
+            case Deliver(stream=stream, body=body):
+                self._take_piece(stream, body, now)
+            case Answer():
+                self._take_answer(message, now)
+            case NotRun(flow=flow, number=number, reason=reason):
+                self._end(flow, number, "not_run", reason, now)
+            case OutcomeUnknown(flow=flow, number=number, reason=reason):
+                self._end(flow, number, "unknown", reason, now)
+            case CoordinatorLost(flow=flow) if flow == self._flow:
+                self._reopen("coordinator lost", now)
+            case ServerLost(stream=stream) if stream == self._stream:
+                self._reopen("server lost", now)
+            case ServerLeaving(stream=stream) if stream == self._stream:
+                self._move(now)
+            case TokenRefused():
+                self._previous = b""
+                self._reopen("token refused", now)
+            case Renewed(flow=flow, token=token, expires_at=expires_at) if flow == self._flow:
+                self._use_token(token, expires_at, now)
+
+    def _idle_seconds(self, now: float) -> float:
+        board, upload = self.board, self.upload
+        idle = now - board.progressed_at if board is not None else 0.0
+        if upload is not None and not upload.whole:
+            idle = max(idle, now - upload.progressed_at)
+        return idle
+
+    def _reopen_if_stalled(self, now: float) -> None:
+        """Asks for another path or server when the stream has stood still."""
+        if self._idle_seconds(now) > REOPEN_AFTER_SECONDS and now >= self._stalled_again_at:
+            self._stalled_again_at = now + REOPEN_AFTER_SECONDS
+            self._reopen("stalled", now)
+
+    def _poll_open(self, now: float) -> list[bytes]:
+        if self._open_at > now:
+            return []
+        self._open_at = now + RESEND_SECONDS
+        return [encode(Open(self.service, self._nonce, self._previous))]
+
+    def _take_opened(self, message: Opened, now: float) -> None:
+        if message.nonce != self._nonce or self.token:
+            return
+        if self._stream and message.stream != self._stream:
+            self._start_stream_again(now)
+        self._flow = message.flow
+        self._stream = message.stream
+        self._numbers = 0
+        self._use_token(message.token, message.expires_at, now)
+        self._stream_at = now
+
+    def _use_token(self, token: bytes, expires_at: float, now: float) -> None:
+        self.token = token
+        self._previous = token
+        self._renew_at = now + (expires_at - now) * RENEW_SHARE
+
+    def _start_stream_again(self, now: float) -> None:
+        if self.board is not None:
+            self.board.have = 0
+            self.board.began_at = now
+        if self.upload is not None and not self.upload.whole:
+            self.upload.have = 0
+            self.upload.restarts += 1
+
+    def _reopen(self, cause: str, now: float) -> None:
+        """Opens the flow again; requests without an outcome belong to the old coordinator."""
+        if not self.token:
+            return
+        for number in list(self._pending):
+            self._end(self._flow, number, "unknown", cause, now)
+        if cause == "server lost" and self.upload is not None and not self.upload.whole:
+            self.upload.have = 0
+            self.upload.restarts += 1
+        self.reopened[cause] = self.reopened.get(cause, 0) + 1
+        self.token = b""
+        self._nonce = self._random.getrandbits(32)
+        self._open_at = now
+
+    def _move(self, now: float) -> None:
+        """Moves to another server, once nothing is under way that only the old one can end."""
+        uploading = self.upload is not None and not self.upload.whole
+        if not uploading and not self._pending:
+            self._reopen("server leaving", now)
+
+    def _first_send(self, pending: Pending, now: float) -> bytes:
+        self._numbers += 1
+        request = Request(self.token, self._numbers, pending.kind, pending.deadline, pending.work)
+        pending.datagram = encode(request)
+        pending.resend_at = now + RESEND_SECONDS
+        self._pending[self._numbers] = pending
+        return pending.datagram
+
+    def _stream_bodies(self) -> list[bytes]:
+        bodies = []
+        if self.board is not None:
+            bodies.append(encode_body(Follow(self.board.have, self.board.began_at)))
+        upload = self.upload
+        if upload is not None and not upload.whole:
+            last = min(upload.total, upload.have + WINDOW_PIECES)
+            indexes = range(min(upload.have, upload.total - 1), last)
+            bodies += [encode_body(self._upload_piece(upload, index)) for index in indexes]
+        return bodies
+
+    def _upload_piece(self, upload: Upload, index: int) -> UploadPiece:
+        body = upload_piece(upload.number, index)
+        return UploadPiece(upload.number, index, upload.total, body)
+
+    def _take_piece(self, stream: int, payload: bytes, now: float) -> None:
+        if stream != self._stream:
+            self.foreign += 1
+            return
+        try:
+            body = decode_body(payload)
+        except msgspec.MsgspecError:
+            self.foreign += 1
+            return
+        match body:
+            case BoardPiece(index=index, body=content) if self.board is not None:
+                self._take_board_piece(self.board, index, content, now)
+            case UploadState() if self.upload is not None:
+                self._take_upload_state(self.upload, body, now)
+
+    def _take_board_piece(self, board: Board, index: int, content: bytes, now: float) -> None:
+        if content != board_piece(self.service, self._stream, index):
+            self.foreign += 1
+        elif index == board.have:
+            board.have += 1
+            board.longest_gap = max(board.longest_gap, now - board.progressed_at)
+            board.progressed_at = now
+
+    def _take_upload_state(self, upload: Upload, state: UploadState, now: float) -> None:
+        if state.upload != upload.number:
+            self.foreign += 1
+            return
+        if state.have > upload.have:
+            upload.have = state.have
+            upload.progressed_at = now
+            self._stream_at = now
+        if state.digest and not upload.whole:
+            pieces = [upload_piece(upload.number, index) for index in range(upload.total)]
+            upload.whole = state.digest == upload_digest(self.service, upload.number, pieces)
+            self.foreign += not upload.whole
+
+    def _take_answer(self, message: Answer, now: float) -> None:
+        pending = self._pending.get(message.number) if message.flow == self._flow else None
+        if pending is None:
+            return
+        pending.pieces[message.piece] = message.body
+        if len(pending.pieces) < message.pieces:
+            return
+        body = b"".join(pending.pieces[index] for index in range(message.pieces))
+        if body != answer_body(self.service, pending.kind, pending.work):
+            self.foreign += 1
+        self._end(message.flow, message.number, "whole", "", now)
+
+    def _end(self, flow: int, number: int, result: Result, reason: str, now: float) -> None:
+        if flow != self._flow:
+            return
+        pending = self._pending.pop(number, None)
+        if pending is not None:
+            seconds = now - pending.sent_at
+            self.outcomes.append(Outcome(pending.work, pending.kind, result, reason, seconds))
+
+    def _expire(self, now: float) -> None:
+        for number, pending in list(self._pending.items()):
+            if pending.deadline + 2 * RESEND_SECONDS <= now:
+                self._end(self._flow, number, "unknown", "no outcome by the deadline", now)
+        for pending in [p for p in self._unsent if p.deadline <= now]:
+            self._unsent.remove(pending)
+            seconds = now - pending.sent_at
+            reason = "never sent"
+            outcome = Outcome(pending.work, pending.kind, "not_run", reason, seconds)
+            self.outcomes.append(outcome)
--- /dev/null
+++ b/marjoramford/standins/demos.py
@@ -0,0 +1,331 @@
+"""Every daemon and stand-in as tasks in one process, with planned and unplanned changes."""
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+from aiohttp import web
+
+from ..addresses import Address
+from ..daemons import EntryVmDaemon
+from ..events import DrainRequested
+from ..records import VmRecord
+from ..settings import EntryVmSettings
+from .caller_sessions import CallerSession
+from .callers import CallerStandin
+from .deployments import Deployment, Traffic
+from .fabrics import FabricStandin, Weather
+from .platform_models import PlatformModel
+from .platforms import PlatformStandin
+from .server_models import Ledger, ServerModel
+from .servers import ServerStandin
+from .sites import HOST, plan_site
+
+UPLOAD_PIECES = 300
+REQUEST_SECONDS = 4.0
+START_SECONDS = 8.0
+
+
+def make_server(record: VmRecord, deployment: Deployment, random: Random, ledger: Ledger):
+    """Returns a backend server of a deployment."""
+    work = {t.kind: t.work_seconds for t in deployment.traffic if t.shape == "request"}
+    model = ServerModel(
+        record.name, record.incarnation, record.service, record.slots, random, ledger, work
+    )
+    return ServerStandin(model, record.host, record.data_port, record.http_port)
+
+
+@dataclass(slots=True)
+class KindTally:
+    """What became of one kind of traffic."""
+
+    offered: int = 0
+    whole: int = 0
+    refused: int = 0
+    unknown: int = 0
+
+
+@dataclass(slots=True)
+class DemoReport:
+    """What a demo run showed."""
+
+    kinds: dict[str, KindTally] = field(default_factory=dict)
+    broken_flows: int = 0
+    foreign: int = 0
+    ran_twice: int = 0
+    false_not_run: int = 0
+    misdirected: int = 0
+    violations: int = 0
+    imbalance: dict[str, float] = field(default_factory=dict)
+    spread_seconds: float = float("nan")
+    reopened: Counter[str] = field(default_factory=Counter)
+    events: list[str] = field(default_factory=list)
+
+    @property
+    def promises_kept(self) -> bool:
+        """Whether nothing happened that must never happen."""
+        faults = (
+            self.broken_flows,
+            self.foreign,
+            self.ran_twice,
+            self.false_not_run,
+            self.misdirected,
+            self.violations,
+        )
+        return not any(faults)
+
+
+class Demo:
+    """One run of a deployment in this process."""
+
+    def __init__(self, deployment: Deployment, seed: int, seconds: float):
+        self.deployment = deployment
+        self.report = DemoReport()
+        self._seconds = seconds
+        self._random = Random(seed)
+        self._site = plan_site(deployment)
+        self._ledger = Ledger()
+        self._platform = PlatformStandin(PlatformModel())
+        self._daemons: dict[str, EntryVmDaemon] = {}
+        self._running: dict[str, asyncio.Task] = {}
+        self._servers: dict[str, ServerStandin] = {}
+        self._callers: list[tuple[Traffic, CallerStandin]] = []
+        self._jobs: list[asyncio.Task] = []
+        self._runner: web.AppRunner | None = None
+
+    async def run(self) -> DemoReport:
+        """Starts everything, offers traffic, makes changes, and judges."""
+        fabric = FabricStandin(self._spray_targets, Random(self._random.random()), self._weather())
+        try:
+            await self._start_platform()
+            await self._start_servers()
+            self._start_entry_vms()
+            await fabric.open(self._site.fabric)
+            await self._wait_until_ready()
+            await self._start_callers()
+            await asyncio.gather(self._offer_requests(), self._make_changes())
+            await self._settle()
+            self._judge()
+        finally:
+            fabric.close()
+            await self._stop()
+        return self.report
+
+    def _weather(self) -> Weather:
+        latency = self.deployment.caller_latency_seconds
+        return Weather(duplication=0.02, min_delay=0.8 * latency, max_delay=1.2 * latency)
+
+    def _spray_targets(self) -> list[Address]:
+        live = []
+        for vm in self._site.entry_vms:
+            listed = self._platform.model.vms.get(vm.name)
+            if listed is not None and listed.state == "live":
+                live.append(Address(vm.host, vm.data_port))
+        return live
+
+    async def _start_platform(self) -> None:
+        self._site.publish(self._platform.model)
+        self._runner = web.AppRunner(
+            self._platform.make_app(), access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, HOST, self._site.platform_port).start()
+
+    async def _start_servers(self) -> None:
+        for record in self._site.servers:
+            random = Random(self._random.random())
+            server = make_server(record, self.deployment, random, self._ledger)
+            await server.start()
+            self._servers[record.name] = server
+
+    def _start_entry_vms(self) -> None:
+        for vm in self._site.entry_vms:
+            settings = EntryVmSettings.model_validate(self._site.entry_vm_content(vm))
+            daemon = EntryVmDaemon(settings, seed=self._random.getrandbits(32), strict=True)
+            self._daemons[vm.name] = daemon
+            self._running[vm.name] = asyncio.create_task(daemon.run())
+
+    async def _wait_until_ready(self) -> None:
+        model = self._platform.model
+        for daemon in self._daemons.values():
+            node = daemon.core.balancer.node
+            ready = await _until(
+                lambda node=node: node.catalogue.through == model.catalogue.through
+                and node.vm_list.through == model.vms.through,
+                START_SECONDS,
+            )
+            if not ready:
+                raise TimeoutError(f"{node.own.name} did not read the platform in time")
+
+    async def _start_callers(self) -> None:
+        for traffic in self.deployment.traffic:
+            count = 12 if traffic.shape == "request" else max(4, int(20 * traffic.share))
+            for number in range(count):
+                await self._start_caller(traffic, number)
+
+    async def _start_caller(self, traffic: Traffic, number: int) -> None:
+        name = f"{traffic.kind}-{number}"
+        session = CallerSession(traffic.service, Random(self._random.random()), name)
+        caller = CallerStandin(session, self._site.fabric)
+        await caller.start()
+        now = time.time()
+        if traffic.shape == "board":
+            session.follow_board(now)
+        elif traffic.shape == "upload":
+            session.start_upload(UPLOAD_PIECES, now)
+        self._callers.append((traffic, caller))
+        self._jobs.append(asyncio.create_task(caller.run()))
+
+    async def _offer_requests(self) -> None:
+        """Offers requests at 60% of what the slots can do, one kind at a time."""
+        until = time.time() + self._seconds
+        kinds = [t for t in self.deployment.traffic if t.shape == "request"]
+        await asyncio.gather(*(self._offer_kind(traffic, until) for traffic in kinds))
+
+    async def _offer_kind(self, traffic: Traffic, until: float) -> None:
+        service = self.deployment.service(traffic.service)
+        shares = [t for t in self.deployment.traffic if t.shape == "request"]
+        total = sum(t.share for t in shares if t.service == traffic.service)
+        capacity = service.servers * service.slots / traffic.work_seconds
+        rate = 0.6 * capacity * traffic.share / total
+        sessions = [caller.session for t, caller in self._callers if t is traffic]
+        while time.time() < until:
+            await asyncio.sleep(self._random.expovariate(rate))
+            now = time.time()
+            self._random.choice(sessions).request(traffic.kind, now + REQUEST_SECONDS, now)
+
+    async def _make_changes(self) -> None:
+        """Stops an entry VM and a server as planned, reclasses an entry, kills an entry VM."""
+        pause = self._seconds / 5
+        await asyncio.sleep(pause)
+        await self._reclass()
+        await asyncio.sleep(pause / 2)
+        await self._stop_entry_vm(self._site.entry_vms[0].name)
+        await asyncio.sleep(pause / 2)
+        await self._stop_server(self._site.servers[0].name)
+        await asyncio.sleep(pause)
+        await self._kill_entry_vm(self._site.entry_vms[1].name)
+
+    async def _reclass(self) -> None:
+        entry = self._platform.model.catalogue.get(self.deployment.services[0].name)
+        assert entry is not None
+        began = time.time()
+        changed = msgspec.structs.replace(entry, service_class="standard")
+        await self._platform.put_entry(changed)
+        through = self._platform.model.catalogue.through
+        nodes = [daemon.core.balancer.node for daemon in self._daemons.values()]
+        await _until(lambda: all(node.catalogue.through >= through for node in nodes), 5.0)
+        self.report.spread_seconds = time.time() - began
+        self.report.events.append(f"reclassed {entry.name}")
+
+    async def _stop_entry_vm(self, name: str) -> None:
+        await self._platform.set_vm_state(name, "leaving")
+        core = self._daemons[name].core
+        core.submit(DrainRequested(core.clock() + 8.0))
+        self.report.events.append(f"planned stop of {name}")
+
+    async def _stop_server(self, name: str) -> None:
+        await self._platform.set_vm_state(name, "leaving")
+        server = self._servers[name]
+        server.model.drain(time.time())
+        self._jobs.append(asyncio.create_task(self._end_server(name)))
+        self.report.events.append(f"planned stop of {name}")
+
+    async def _end_server(self, name: str) -> None:
+        server = self._servers[name]
+        if await server.wait_until_drained(time.time() + 30.0):
+            await self._platform.set_vm_state(name, "gone")
+            await server.stop()
+
+    async def _kill_entry_vm(self, name: str) -> None:
+        self._running[name].cancel()
+        await asyncio.wait([self._running[name]])
+        self._daemons.pop(name)
+        self.report.events.append(f"killed {name}")
+        await asyncio.sleep(1.0)
+        await self._platform.set_vm_state(name, "gone")
+
+    async def _settle(self) -> None:
+        """Waits until every request has its outcome and every upload is whole."""
+        sessions = [caller.session for _, caller in self._callers]
+        await _until(lambda: all(session.pending == 0 for session in sessions), 10.0)
+        uploads = [session.upload for session in sessions if session.upload is not None]
+        await _until(lambda: all(upload.whole for upload in uploads), 10.0)
+
+    def _judge(self) -> None:
+        now = time.time()
+        for traffic, caller in self._callers:
+            tally = self.report.kinds.setdefault(traffic.kind, KindTally())
+            judge_session(self.report, tally, caller.session, now)
+        judge_ledger(self.report, self._ledger, [c.session for _, c in self._callers])
+        self.report.violations = sum(
+            sum(daemon.core.balancer.node.invariants.violations.values())
+            for daemon in self._daemons.values()
+        )
+        self.report.imbalance = imbalance_by_service(
+            [server.model for server in self._servers.values()], now
+        )
+
+    async def _stop(self) -> None:
+        for _, caller in self._callers:
+            caller.close()
+        for task in (*self._jobs, *self._running.values()):
+            task.cancel()
+        await asyncio.gather(*self._jobs, *self._running.values(), return_exceptions=True)
+        for server in self._servers.values():
+            await server.stop()
+        if self._runner is not None:
+            self._platform.down = True
+            await self._runner.cleanup()
+
+
+def judge_session(report: DemoReport, tally: KindTally, session: CallerSession, now: float) -> None:
+    """Adds what one caller saw to a report."""
+    report.foreign += session.foreign
+    report.reopened.update(session.reopened)
+    for outcome in session.outcomes:
+        tally.offered += 1
+        tally.whole += outcome.result == "whole"
+        tally.refused += outcome.result == "not_run"
+        tally.unknown += outcome.result == "unknown"
+    if session.board is not None or session.upload is not None:
+        broken = session.stalled(now)
+        whole = session.upload is None or session.upload.whole
+        tally.offered += 1
+        tally.whole += whole and not broken
+        report.broken_flows += broken
+
+
+def judge_ledger(report: DemoReport, ledger: Ledger, sessions: list[CallerSession]) -> None:
+    """Compares what callers were told with what servers ran."""
+    report.misdirected += ledger.misdirected
+    for session in sessions:
+        for outcome in session.outcomes:
+            runs = ledger.started[outcome.work]
+            report.false_not_run += outcome.result == "not_run" and runs > 0
+            idempotent = outcome.kind in ("seats", "clause")
+            report.ran_twice += runs > 1 and not idempotent
+
+
+def imbalance_by_service(models: list[ServerModel], now: float) -> dict[str, float]:
+    """Returns each service's busiest server's busy time over the mean, leaving servers aside."""
+    by_service: dict[str, list[float]] = {}
+    for model in models:
+        if model.draining_since is None:
+            by_service.setdefault(model.service, []).append(model.busy_seconds(now))
+    return {
+        service: max(busy) * len(busy) / sum(busy) if sum(busy) else 1.0
+        for service, busy in by_service.items()
+    }
+
+
+async def _until(condition, seconds: float) -> bool:
+    deadline = time.time() + seconds
+    while time.time() < deadline:
+        if condition():
+            return True
+        await asyncio.sleep(0.02)
+    return False
--- /dev/null
+++ b/marjoramford/standins/deployments.py
@@ -0,0 +1,149 @@
+"""The two deployments of the brief: zones, services, servers, slots, latencies and traffic."""
+
+from dataclasses import dataclass
+
+from ..records import CatalogueEntry, KindRules
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """One kind of traffic that callers offer.
+
+    Attributes:
+        shape: ``request``, ``board`` (a stream to the caller) or ``upload`` (one from it).
+        share: part of the offered requests that are of this kind; for streams, of the flows.
+        work_seconds: mean time a request holds a slot.
+        weight: how much one whole delivery counts.
+    """
+
+    service: str
+    kind: str
+    shape: str
+    share: float
+    work_seconds: float = 0.3
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShape:
+    """One service and its backend servers."""
+
+    name: str
+    servers: int
+    slots: int
+    connections: int
+    service_class: str
+    kinds: tuple[KindRules, ...]
+
+    def entry(self, owner: str, revision: int, added_at: int) -> CatalogueEntry:
+        """Returns the catalogue entry that the service starts with."""
+        return CatalogueEntry(
+            self.name,
+            revision,
+            added_at,
+            owner,
+            self.service_class,
+            self.servers * self.connections,
+            self.servers * self.slots * 2,
+            self.kinds,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One firm's region."""
+
+    name: str
+    owner: str
+    region: str
+    zones: tuple[str, ...]
+    entry_vms: int
+    zone_latency_seconds: float
+    caller_latency_seconds: float
+    services: tuple[ServiceShape, ...]
+    traffic: tuple[Traffic, ...]
+
+    def service(self, name: str) -> ServiceShape:
+        """Returns a service by name."""
+        return next(service for service in self.services if service.name == name)
+
+
+HERITAGE = Deployment(
+    name="heritage",
+    owner="Sahel Vapeur Billetterie",
+    region="tn-nord",
+    zones=("tunis-ville", "sousse-depot", "metlaoui-hall", "bizerte-annex"),
+    entry_vms=8,
+    zone_latency_seconds=0.0015,
+    caller_latency_seconds=0.003,
+    services=(
+        ServiceShape(
+            "booking",
+            servers=7,
+            slots=2,
+            connections=2000,
+            service_class="critical",
+            kinds=(
+                KindRules("seats", idempotent=True, priority=6),
+                KindRules("hold", priority=4),
+                KindRules("confirm", priority=2),
+            ),
+        ),
+        ServiceShape(
+            "manifest",
+            servers=4,
+            slots=2,
+            connections=2000,
+            service_class="bulk",
+            kinds=(KindRules("register", priority=5),),
+        ),
+    ),
+    traffic=(
+        Traffic("booking", "seats", "request", 0.45, work_seconds=0.3, weight=1.0),
+        Traffic("booking", "hold", "request", 0.3, work_seconds=0.3, weight=5.0),
+        Traffic("booking", "confirm", "request", 0.1, work_seconds=0.3, weight=8.0),
+        Traffic("manifest", "register", "request", 0.15, work_seconds=0.3, weight=4.0),
+        Traffic("booking", "board", "board", 0.7, weight=1.0),
+        Traffic("manifest", "upload", "upload", 0.3, weight=8.0),
+    ),
+)
+
+GRIEVANCE = Deployment(
+    name="grievance",
+    owner="Schreibwerk Lechner GmbH",
+    region="bayern",
+    zones=("muc-a", "nue-b", "aug-c"),
+    entry_vms=7,
+    zone_latency_seconds=0.0015,
+    caller_latency_seconds=0.001,
+    services=(
+        ServiceShape(
+            "drafting",
+            servers=7,
+            slots=3,
+            connections=2000,
+            service_class="critical",
+            kinds=(
+                KindRules("clause", idempotent=True, priority=4),
+                KindRules("submit", priority=2),
+            ),
+        ),
+        ServiceShape(
+            "evidence",
+            servers=3,
+            slots=3,
+            connections=2000,
+            service_class="standard",
+            kinds=(KindRules("attach", priority=5),),
+        ),
+    ),
+    traffic=(
+        Traffic("drafting", "clause", "request", 0.65, work_seconds=0.3, weight=1.0),
+        Traffic("drafting", "submit", "request", 0.15, work_seconds=0.3, weight=8.0),
+        Traffic("evidence", "attach", "request", 0.2, work_seconds=0.3, weight=4.0),
+        Traffic("drafting", "draft", "board", 0.75, weight=3.0),
+        Traffic("evidence", "upload", "upload", 0.25, weight=6.0),
+    ),
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (HERITAGE, GRIEVANCE)}
--- /dev/null
+++ b/marjoramford/standins/platform_models.py
@@ -0,0 +1,55 @@
+"""The platform without I/O: a catalogue and a VM list that clients can only read."""
+
+import msgspec
+
+from ..records import CatalogueEntry, RecordStore, VmRecord
+
+
+class PlatformModel:
+    """Publishes catalogue entries and VM records; each change gets the next revision."""
+
+    def __init__(self) -> None:
+        self.catalogue: RecordStore[CatalogueEntry] = RecordStore()
+        self.vms: RecordStore[VmRecord] = RecordStore()
+        self.calls = 0
+
+    def put_entry(self, entry: CatalogueEntry) -> CatalogueEntry:
+        """Adds or changes an entry; one that was retired is added anew."""
+        held = self.catalogue.get(entry.name)
+        revision = self.catalogue.through + 1
+        added_at = revision if held is None or held.retired else held.added_at_revision
+        published = msgspec.structs.replace(entry, revision=revision, added_at_revision=added_at)
+        return self._publish(self.catalogue, published)
+
+    def retire(self, name: str) -> CatalogueEntry:
+        """Retires an entry; it stays as a tombstone."""
+        held = self.catalogue.get(name)
+        if held is None:
+            raise KeyError(name)
+        revision = self.catalogue.through + 1
+        retired = msgspec.structs.replace(held, revision=revision, retired=True)
+        return self._publish(self.catalogue, retired)
+
+    def put_vm(self, record: VmRecord) -> VmRecord:
+        """Adds or changes a VM."""
+        published = msgspec.structs.replace(record, revision=self.vms.through + 1)
+        return self._publish(self.vms, published)
+
+    def set_vm_state(self, name: str, state: str) -> VmRecord:
+        """Changes whether a VM is live, leaving or gone."""
+        held = self.vms.get(name)
+        if held is None:
+            raise KeyError(name)
+        return self.put_vm(msgspec.structs.replace(held, state=state))
+
+    def read(self, collection: str, after: int, limit: int) -> tuple[tuple[bytes, ...], int]:
+        """Returns records changed after a revision, as JSON, and the revision they reach."""
+        self.calls += 1
+        store = self.catalogue if collection == "catalogue" else self.vms
+        batch = store.since(after, limit)
+        return tuple(msgspec.json.encode(record) for record in batch.records), batch.through
+
+    def _publish(self, store: RecordStore, record):
+        store.apply(record)
+        store.advance(record.revision)
+        return record
--- /dev/null
+++ b/marjoramford/standins/server_models.py
@@ -0,0 +1,203 @@
+"""A backend server without I/O: slots, drain, cold start, shedding, streams, and its ledger."""
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+
+from ..messages import Forward, Mismatch, Return
+from .streams import (
+    PIECE_BYTES,
+    WINDOW_PIECES,
+    BoardPiece,
+    Follow,
+    UploadPiece,
+    UploadState,
+    answer_body,
+    board_piece,
+    decode_body,
+    encode_body,
+    upload_digest,
+)
+
+BOARD_PIECES_PER_SECOND = 5.0
+STREAM_IDLE_SECONDS = 2.0
+LOAD_HISTORY = 2000
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What ran, kept outside the system under test: the judge of its promises.
+
+    Attributes:
+        started: how often each piece of work was started, by its identifier.
+        foreign: datagrams or requests that a server got for another service or server and ran.
+        late_work: new work that a server started after it had been leaving for long.
+    """
+
+    started: Counter[bytes] = field(default_factory=Counter)
+    finished: Counter[bytes] = field(default_factory=Counter)
+    foreign: int = 0
+    late_work: int = 0
+    misdirected: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The request holds a slot for `seconds`, then has `answer`."""
+
+    seconds: float
+    answer: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """The request did not run: ``shed``, ``draining`` or ``mismatch``."""
+
+    reason: str
+
+
+@dataclass(slots=True)
+class _Upload:
+    total: int
+    pieces: dict[int, bytes] = field(default_factory=dict)
+
+    def have(self) -> int:
+        """Returns how many leading pieces are there."""
+        index = 0
+        while index in self.pieces:
+            index += 1
+        return index
+
+
+class ServerModel:
+    """One incarnation of a backend server.
+
+    Args:
+        report_lag: how old its load report is, in seconds.
+        lies: whether it always reports that it is idle.
+        cold_until: until then work takes twice as long, in epoch seconds.
+        work_seconds: mean time of work by kind.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        service: str,
+        slots: int,
+        random: Random,
+        ledger: Ledger,
+        work_seconds: dict[str, float],
+        report_lag: float = 0.0,
+        lies: bool = False,
+        cold_until: float = 0.0,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.service = service
+        self.slots = slots
+        self.lies = lies
+        self.report_lag = report_lag
+        self.ledger = ledger
+        self.busy = 0
+        self.draining_since: float | None = None
+        self._random = random
+        self._work_seconds = work_seconds
+        self._cold_until = cold_until
+        self._uploads: dict[tuple[int, int], _Upload] = {}
+        self._streams: dict[int, float] = {}
+        self._history: deque[tuple[float, int]] = deque([(0.0, 0)], maxlen=LOAD_HISTORY)
+        self._busy_seconds = 0.0
+        self._changed_at: float | None = None
+
+    def submit(
+        self, service: str, server: str, incarnation: int, kind: str, work: bytes, now: float
+    ) -> Started | TurnedAway:
+        """Starts a request or turns it away."""
+        if (service, server, incarnation) != (self.service, self.name, self.incarnation):
+            self.ledger.misdirected += 1
+            return TurnedAway("mismatch")
+        if self.draining_since is not None:
+            return TurnedAway("draining")
+        if self.busy >= self.slots:
+            return TurnedAway("shed")
+        self._set_busy(self.busy + 1, now)
+        self.ledger.started[work] += 1
+        mean = self._work_seconds.get(kind, 0.3) * (2.0 if now < self._cold_until else 1.0)
+        return Started(self._random.expovariate(1.0 / mean), answer_body(service, kind, work))
+
+    def finish(self, work: bytes, now: float) -> None:
+        """Frees the slot of a request that ended."""
+        self._set_busy(self.busy - 1, now)
+        self.ledger.finished[work] += 1
+
+    def drain(self, now: float) -> None:
+        """Starts a planned stop."""
+        if self.draining_since is None:
+            self.draining_since = now
+
+    def is_drained(self, now: float) -> bool:
+        """Tells whether no request runs and no stream was heard of lately."""
+        quiet = all(now - heard > STREAM_IDLE_SECONDS for heard in self._streams.values())
+        return self.draining_since is not None and self.busy == 0 and quiet
+
+    def load(self, now: float) -> tuple[int, int, bool, float]:
+        """Returns busy slots, slots, draining and when this was measured; late or false."""
+        moment = now - self.report_lag
+        busy = 0
+        for at, count in reversed(self._history):
+            if at <= moment:
+                busy = count
+                break
+        draining = self.draining_since is not None and self.draining_since <= moment
+        return (0 if self.lies else busy), self.slots, draining, max(0.0, moment)
+
+    def busy_seconds(self, now: float) -> float:
+        """Returns the sum over time of busy slots."""
+        since = self._changed_at if self._changed_at is not None else now
+        return self._busy_seconds + self.busy * (now - since)
+
+    def receive(self, message: Forward, now: float) -> list[Return | Mismatch]:
+        """Answers a datagram of a stream."""
+        if (message.service, message.server, message.server_incarnation) != (
+            self.service,
+            self.name,
+            self.incarnation,
+        ):
+            self.ledger.misdirected += 1
+            return [Mismatch(message.label)]
+        self._streams[message.stream] = now
+        try:
+            body = decode_body(message.body)
+        except msgspec.MsgspecError:
+            return []
+        replies = self._answer(message.stream, body, now)
+        return [Return(message.label, encode_body(reply)) for reply in replies]
+
+    def _answer(self, stream: int, body, now: float) -> list[BoardPiece | UploadState]:
+        match body:
+            case Follow(have=have, began_at=began_at):
+                produced = int((now - began_at) * BOARD_PIECES_PER_SECOND)
+                indexes = range(have, min(produced, have + WINDOW_PIECES))
+                return [BoardPiece(i, board_piece(self.service, stream, i)) for i in indexes]
+            case UploadPiece(upload=number, index=index, total=total, body=content):
+                upload = self._uploads.setdefault((stream, number), _Upload(total))
+                upload.pieces[index] = content[:PIECE_BYTES]
+                return [self._upload_state(number, upload)]
+            case _:
+                return []
+
+    def _upload_state(self, number: int, upload: _Upload) -> UploadState:
+        have = upload.have()
+        if have < upload.total:
+            return UploadState(number, have)
+        pieces = [upload.pieces[index] for index in range(upload.total)]
+        return UploadState(number, have, upload_digest(self.service, number, pieces))
+
+    def _set_busy(self, busy: int, now: float) -> None:
+        self._busy_seconds = self.busy_seconds(now)
+        self._changed_at = now
+        self.busy = busy
+        self._history.append((now, busy))
--- /dev/null
+++ b/marjoramford/standins/sites.py
@@ -0,0 +1,138 @@
+"""Where everything of a deployment listens, and the settings files that follow from it."""
+
+import socket
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from ..addresses import Address
+from ..records import VmRecord
+from .deployments import Deployment
+from .platform_models import PlatformModel
+
+HOST = "127.0.0.1"
+SITE_SECRET = "00112233445566778899aabbccddeeff"
+SITE_FILE = "site.json"
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """Every process of a deployment with its ports."""
+
+    deployment: Deployment
+    platform_port: int
+    fabric_port: int
+    entry_vms: tuple[VmRecord, ...]
+    servers: tuple[VmRecord, ...]
+
+    @property
+    def platform(self) -> str:
+        """The platform's base URL."""
+        return f"http://{HOST}:{self.platform_port}"
+
+    @property
+    def fabric(self) -> Address:
+        """Where callers send."""
+        return Address(HOST, self.fabric_port)
+
+    def server(self, name: str) -> VmRecord:
+        """Returns a backend server by name."""
+        return next(record for record in self.servers if record.name == name)
+
+    def entry_vm_content(self, vm: VmRecord) -> dict[str, object]:
+        """Returns the settings file of an entry VM as plain data."""
+        return {
+            "name": vm.name,
+            "zone": vm.zone,
+            "host": vm.host,
+            "data_port": vm.data_port,
+            "inner_port": vm.inner_port,
+            "http_port": vm.http_port,
+            "platform": self.platform,
+            "seeds": [f"{peer.host}:{peer.http_port}" for peer in self.entry_vms],
+            "keys": [{"id": 1, "secret": SITE_SECRET}],
+            "current_key": 1,
+            "times": {"drain": 8.0, "drain_linger": 1.0, "suspicion": 2.0},
+        }
+
+    def publish(self, platform: PlatformModel) -> None:
+        """Puts the deployment's services and VMs into the platform."""
+        for service in self.deployment.services:
+            platform.put_entry(service.entry(self.deployment.owner, 1, 1))
+        for record in (*self.entry_vms, *self.servers):
+            platform.put_vm(record)
+
+    def write(self, directory: Path) -> None:
+        """Writes the site and one settings file for each entry VM."""
+        directory.mkdir(parents=True, exist_ok=True)
+        (directory / SITE_FILE).write_bytes(msgspec.json.encode(self))
+        for vm in self.entry_vms:
+            content = yaml.safe_dump(self.entry_vm_content(vm), sort_keys=False)
+            (directory / f"{vm.name}.yaml").write_text(content, encoding="utf-8")
+
+
+def read_site(path: str) -> Site:
+    """Reads a site file that `Site.write` wrote."""
+    return msgspec.json.decode(Path(path).read_bytes(), type=Site)
+
+
+def plan_site(deployment: Deployment) -> Site:
+    """Gives every process of a deployment its ports, zone and name."""
+    names = [
+        (service, f"{service.name}-{number + 1}")
+        for service in deployment.services
+        for number in range(service.servers)
+    ]
+    ports = iter(free_ports(2 + 3 * deployment.entry_vms + 2 * len(names)))
+    zones = deployment.zones
+    entry_vms = tuple(
+        VmRecord(
+            name=f"entry-{number + 1}",
+            revision=1,
+            incarnation=0,
+            role="entry",
+            zone=zones[number % len(zones)],
+            host=HOST,
+            data_port=next(ports),
+            http_port=next(ports),
+            inner_port=next(ports),
+        )
+        for number in range(deployment.entry_vms)
+    )
+    servers = tuple(
+        VmRecord(
+            name=name,
+            revision=1,
+            incarnation=1,
+            role="server",
+            zone=zones[number % len(zones)],
+            host=HOST,
+            data_port=next(ports),
+            http_port=next(ports),
+            service=service.name,
+            slots=service.slots,
+        )
+        for number, (service, name) in enumerate(names)
+    )
+    return Site(deployment, next(ports), next(ports), entry_vms, servers)
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports on the loopback interface that are free for both UDP and TCP."""
+    held = []
+    ports: list[int] = []
+    while len(ports) < count:
+        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        tcp.bind((HOST, 0))
+        held += [tcp, udp]
+        try:
+            udp.bind((HOST, tcp.getsockname()[1]))
+        except OSError:
+            continue
+        ports.append(tcp.getsockname()[1])
+    for each in held:
+        each.close()
+    return ports
--- /dev/null
+++ b/marjoramford/tables.py
@@ -0,0 +1,46 @@
+"""Plain text tables for people."""
+
+from collections.abc import Sequence
+
+from .standins.demos import DemoReport
+
+
+def render_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Returns rows under a header, in columns as wide as their content."""
+    lines = [[str(cell) for cell in row] for row in (header, *rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(header))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) if column == 0 else cell.rjust(width)
+            for column, (cell, width) in enumerate(zip(line, widths, strict=True))
+        )
+        for line in lines
+    )
+
+
+def render_demo(deployment: str, report: DemoReport) -> str:
+    """Returns what a demo showed as text."""
+    rows = [
+        (kind, tally.offered, tally.whole, tally.refused, tally.unknown)
+        for kind, tally in report.kinds.items()
+    ]
+    imbalance = ", ".join(f"{name} {value:.2f}" for name, value in report.imbalance.items())
+    facts = [
+        ("changes made", "; ".join(report.events)),
+        ("broken flows", report.broken_flows),
+        ("answers or pieces of others", report.foreign),
+        ("non-idempotent requests run twice", report.ran_twice),
+        ("refused as not run, but run", report.false_not_run),
+        ("datagrams at a wrong server", report.misdirected),
+        ("violated invariants", report.violations),
+        ("imbalance (busiest server / mean)", imbalance),
+        ("catalogue change in force everywhere", f"{report.spread_seconds:.2f} s"),
+        ("flows reopened, by cause", dict(report.reopened) or "none"),
+    ]
+    width = max(len(name) for name, _ in facts)
+    lines = [f"deployment {deployment}", ""]
+    lines.append(render_table(("kind", "offered", "whole", "refused", "unknown"), rows))
+    lines.append("")
+    lines += [f"{name.ljust(width)}  {value}" for name, value in facts]
+    verdict = "every promise was kept" if report.promises_kept else "A PROMISE WAS BROKEN"
+    return "\n".join([*lines, "", verdict])
--- /dev/null
+++ b/marjoramford/tokens.py
@@ -0,0 +1,94 @@
+"""Flow tokens, carried by callers, and return labels, echoed by backend servers."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from .addresses import Address
+from .keys import KeyRing, Purpose
+
+
+class Coordinator(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """The incarnation of an entry VM that alone decides on a flow's requests."""
+
+    entry_vm: str
+    incarnation: int
+
+
+class Token(msgspec.Struct, frozen=True, array_like=True):
+    """What any entry VM needs to forward a flow's datagrams without memory of the flow.
+
+    Attributes:
+        flow: number drawn at random by the coordinator; one for each open.
+        stream: the flow number of the first open; it stays when the caller reopens.
+        service_incarnation: revision at which the service was added to the catalogue.
+        peer_address: where the coordinator takes relayed datagrams.
+        issued_at: seconds since the epoch.
+        expires_at: seconds since the epoch.
+    """
+
+    flow: int
+    stream: int
+    service: str
+    service_incarnation: int
+    server: str
+    server_incarnation: int
+    server_address: Address
+    coordinator: Coordinator
+    peer_address: Address
+    caller: Address
+    issued_at: float
+    expires_at: float
+
+
+class Label(msgspec.Struct, frozen=True, array_like=True):
+    """The return path, signed by an entry VM and echoed by the backend server unread."""
+
+    caller: Address
+    stream: int
+    service: str
+    server: str
+    server_incarnation: int
+    expires_at: float
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_token = msgspec.msgpack.Decoder(Token).decode
+_decode_label = msgspec.msgpack.Decoder(Label).decode
+
+
+def seal_token(token: Token, keys: KeyRing) -> bytes:
+    """Encodes and authenticates a token."""
+    return keys.seal(_encode(token), Purpose.TOKEN)
+
+
+def verify_token(sealed: bytes, keys: KeyRing) -> Result[Token, str]:
+    """Authenticates and decodes a token; its expiry and caller are the reader's to check."""
+    match keys.open(sealed, Purpose.TOKEN):
+        case Ok(payload):
+            return _decoded(payload, _decode_token)
+        case Err() as failure:
+            return failure
+
+
+def seal_label(label: Label, keys: KeyRing) -> bytes:
+    """Encodes and authenticates a label."""
+    return keys.seal(_encode(label), Purpose.LABEL)
+
+
+def verify_label(sealed: bytes, keys: KeyRing, now: float) -> Result[Label, str]:
+    """Authenticates and decodes a label that has not expired at `now` (epoch seconds)."""
+    match keys.open(sealed, Purpose.LABEL):
+        case Ok(payload):
+            decoded = _decoded(payload, _decode_label)
+            if decoded.is_ok() and decoded.ok().expires_at <= now:
+                return Err("label has expired")
+            return decoded
+        case Err() as failure:
+            return failure
+
+
+def _decoded(payload: bytes, decode) -> Result:
+    try:
+        return Ok(decode(payload))
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
--- /dev/null
+++ b/marjoramford/watchers.py
@@ -0,0 +1,94 @@
+"""Watches on the platform's catalogue and VM list."""
+
+import asyncio
+import logging
+
+import aiohttp
+import msgspec
+
+from .cores import Core
+from .errors import Step, StepError
+from .events import CatalogueRead, Event, VmListRead
+from .logs import LogEvent, log_event
+from .settings import TimeSettings
+
+logger = logging.getLogger(__name__)
+
+NOT_READER_POLL_SECONDS = 1.0
+RECORDS_PER_PAGE = 1000
+MAX_PAGE_BYTES = 1_048_576
+REQUEST_BYTES = 200
+
+
+class PublishedPage(msgspec.Struct, frozen=True):
+    """The platform's answer to a read or a watch."""
+
+    records: tuple[msgspec.Raw, ...]
+    through: int
+
+
+class Watcher:
+    """Keeps one collection up to date while this entry VM is a reader.
+
+    A watch is a read that the platform holds open until there is a change or `platform_wait` is
+    over.
+    """
+
+    def __init__(self, core: Core, platform: str, collection: str, times: TimeSettings):
+        self._core = core
+        self._url = f"{platform}/v1/{collection}"
+        self._collection = collection
+        self._times = times
+        self._reachable = True
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                if not self._core.balancer.is_reader():
+                    await asyncio.sleep(NOT_READER_POLL_SECONDS)
+                elif not await self._watch_once(session):
+                    await asyncio.sleep(self._times.platform_retry)
+
+    async def _watch_once(self, session: aiohttp.ClientSession) -> bool:
+        params = {
+            "after": str(self._through()),
+            "wait": str(self._times.platform_wait),
+            "limit": str(RECORDS_PER_PAGE),
+        }
+        timeout = aiohttp.ClientTimeout(total=self._times.platform_wait + 5.0, connect=2.0)
+        self._core.balancer.charge_control(REQUEST_BYTES, self._core.clock())
+        try:
+            async with session.get(self._url, params=params, timeout=timeout) as response:
+                response.raise_for_status()
+                body = await response.content.read(2 * MAX_PAGE_BYTES)
+            page = msgspec.json.decode(body, type=PublishedPage)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+            self._note_unreachable(StepError(Step.READ_PLATFORM, self._url, str(error)))
+            return False
+        self._note_reachable()
+        self._core.submit(self._event(page))
+        return True
+
+    def _through(self) -> int:
+        node = self._core.balancer.node
+        store = node.catalogue if self._collection == "catalogue" else node.vm_list
+        return store.through
+
+    def _event(self, page: PublishedPage) -> Event:
+        records = tuple(bytes(raw) for raw in page.records)
+        if self._collection == "catalogue":
+            return CatalogueRead(records, page.through)
+        return VmListRead(records, page.through)
+
+    def _note_unreachable(self, error: StepError) -> None:
+        if self._reachable:
+            self._reachable = False
+            log_event(
+                logger, LogEvent.PLATFORM_UNREACHABLE, collection=self._collection, error=error
+            )
+
+    def _note_reachable(self) -> None:
+        if not self._reachable:
+            self._reachable = True
+            log_event(logger, LogEvent.PLATFORM_BACK, collection=self._collection)
