--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -120,8 +120,13 @@
     def __init__(self) -> None:
         self._by_name: dict[str, BackendServer] = {}
         self._by_service: defaultdict[str, dict[str, BackendServer]] = defaultdict(dict)
+        self._by_address: dict[Address, BackendServer] = {}
         self._mean_work: dict[str, float] = {}
 
+    def at(self, address: Address) -> BackendServer | None:
+        """Returns the server listed last at a data address."""
+        return self._by_address.get(address)
+
     def get(self, name: str) -> BackendServer | None:
         """Returns the newest incarnation of a server."""
         return self._by_name.get(name)
@@ -191,5 +196,6 @@
             warm_at=record.listed_at + COLD_START_SECONDS if record.listed_at else 0.0,
         )
         self._by_name[record.name] = server
+        self._by_address[server.data_address] = server
         self._by_service[record.service][record.name] = server
         return server
--- a/marjoramford/balancers.py
+++ b/marjoramford/balancers.py
@@ -11,6 +11,7 @@
 from .addresses import Address
 from .admissions import FlowAdmission
 from .budgets import TokenBucket
+from .choosers import POLICIES, Policy
 from .coordinators import RequestCoordinator
 from .entry_vms import EntryVm, EntryVms, rendezvous_order
 from .events import (
@@ -71,6 +72,7 @@
         random: the only source of chance.
         strict: whether a violated invariant raises.
         seeds: control addresses to ask while no other entry VM is known.
+        policy: chooses backend servers; by default the settings' policy.
     """
 
     def __init__(
@@ -82,8 +84,10 @@
         now: float,
         strict: bool = False,
         seeds: tuple[Address, ...] = (),
+        policy: Policy | None = None,
     ):
         self._node = _make_node(identity, settings, keys, random, now, strict)
+        self._node.policy = policy or self._node.policy
         self._publications = Publications(self._node)
         self._coordinator = RequestCoordinator(self._node)
         admission = FlowAdmission(self._node)
@@ -248,6 +252,7 @@
         keys=keys,
         random=random,
         invariants=Invariants(strict),
+        policy=POLICIES[settings.load.policy],
         entry_vms=EntryVms(own, times.suspicion),
         limits=LimitShares(identity.name, identity.zone, times.limit_hold, times.clock_error),
         control_bytes=TokenBucket(control.bytes_per_second, control.burst_bytes, now),
--- a/marjoramford/choosers.py
+++ b/marjoramford/choosers.py
@@ -1,7 +1,7 @@
 """Policies that choose a backend server for new work."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -49,6 +49,13 @@
     tolerance: float = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class OracleChoice:
+    """The open server with the fewest busy slots in truth; a baseline that no system can have."""
+
+    busy: Callable[[str], int]
+
+
 Policy = (
     RandomChoice
     | RendezvousChoice
@@ -56,6 +63,7 @@
     | TwoChoices
     | ReportedLoad
     | EstimatedOccupancy
+    | OracleChoice
 )
 
 POLICIES: dict[str, Policy] = {
@@ -100,6 +108,8 @@
             return min(pair, key=lambda server: server.in_progress)
         case ReportedLoad():
             return _lowest(servers, [server.reported_busy for server in servers], 0, random)
+        case OracleChoice(busy=busy):
+            return _lowest(servers, [busy(server.name) for server in servers], 0, random)
         case EstimatedOccupancy():
             scores = _estimates(policy, servers, choice)
             return _lowest(servers, scores, policy.tolerance, random)
--- a/marjoramford/commands.py
+++ b/marjoramford/commands.py
@@ -10,16 +10,19 @@
 import urllib.error
 import urllib.request
 
+import msgspec
 from result import Err, Ok
 
 from .addresses import Address
 from .daemons import EntryVmDaemon
 from .deferrals import deferred
+from .experiments import Experiment, Plan
 from .logs import configure_logging
 from .settings import EntryVmSettings, read_settings
 from .standins.commands import StandinCommands
 from .standins.demos import Demo
 from .standins.deployments import DEPLOYMENTS, Deployment
+from .standins.faults import FAULT_SETS
 from .tables import render_demo
 
 EXIT_FAILED = 1
@@ -125,6 +128,42 @@
         if not report.promises_kept:
             sys.exit(EXIT_FAILED)
 
+    @deferred
+    def experiment(
+        self,
+        deployment: str = "heritage",
+        seed: int = 1,
+        seconds: float = 60.0,
+        faults: str = "all",
+        load: float = 0.6,
+        runs: int = 1,
+    ) -> None:
+        """Runs balancers among fakes under a virtual clock and prints the measures as JSON.
+
+        One line a run. Exits 1, with the seed on standard error, when a promise was broken.
+
+        Args:
+            deployment: heritage or grievance.
+            seed: seed of the first run; each further run has the next one.
+            seconds: virtual seconds of traffic.
+            faults: none, planned, unplanned or all.
+            load: offered work as a share of what the slots can do.
+            runs: how many runs.
+        """
+        if faults not in FAULT_SETS:
+            print(f"faults: expected one of {', '.join(FAULT_SETS)}, got {faults}", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        configure_logging("plain", "error")
+        broken = []
+        for number in range(seed, seed + runs):
+            plan = Plan(_deployment(deployment), number, float(seconds), faults, float(load))
+            measures = Experiment(plan).run()
+            print(msgspec.json.encode(measures).decode())
+            if not measures.promises_kept:
+                broken.append(number)
+        if broken:
+            _fail(f"a promise was broken with seeds {broken}")
+
 
 async def _run_entry_vm(settings: EntryVmSettings) -> None:
     daemon = EntryVmDaemon(settings)
--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -9,7 +9,7 @@
 from .addresses import Address
 from .backend_servers import BackendServer
 from .budgets import RetryBudget
-from .choosers import POLICIES, Choice, choose
+from .choosers import Choice, choose
 from .events import AnsweredWhole, BrokenOff, DispatchEnded, DispatchOutcome, ProvedNotRun
 from .invariants import Invariant
 from .limits import Resource, Want
@@ -63,7 +63,6 @@
 
     def __init__(self, node: Node):
         self._node = node
-        self._policy = POLICIES[node.settings.load.policy]
         self._queues: dict[str, WaitingQueue] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._running: dict[int, _Running] = {}
@@ -197,15 +196,19 @@
             started = self._start(record, now)
             if started is not None:
                 return [started]
-        wait = queue.expected_wait(record.priority)
         work = self._node.servers.mean_work_seconds(record.service)
-        if now + wait + work > record.deadline:
+        if now + self._expected_wait(record) + work > record.deadline:
             return self._give_up(record, "deadline cannot be met", now)
         if len(queue) >= self._node.settings.load.max_waiting_per_service:
             return self._give_up(record, "queue is full", now)
         queue.push(record)
         return self._bound_waiting(now)
 
+    def _expected_wait(self, record: RequestRecord) -> float:
+        mean_work = self._node.servers.mean_work_seconds(record.service)
+        running = self._load[record.service]
+        return self._queue(record.service).expected_wait(record.priority, running, mean_work)
+
     def _bound_waiting(self, now: float) -> list[Action]:
         if self.waiting <= self._node.settings.load.max_waiting:
             return []
@@ -250,7 +253,7 @@
         available = limits.available(service, Resource.LOAD, entry.max_load, now)
         if self._load[service] < available:
             return True
-        self._node.want(Want(service, Resource.LOAD, max(1, entry.max_load // 8)))
+        self._node.want(Want(service, Resource.LOAD, 1 + len(self._queue(service))))
         return False
 
     def _choose(self, record: RequestRecord, now: float) -> BackendServer | None:
@@ -267,7 +270,7 @@
         mean_work = node.servers.mean_work_seconds(record.service)
         key = f"{record.flow}/{record.number}"
         choice = Choice(key, node.own.zone, mean_work, now)
-        return choose(self._policy, servers, choice, node.random)
+        return choose(node.policy, servers, choice, node.random)
 
     def _take_evidence(self, running: _Running, outcome: DispatchOutcome, now: float) -> None:
         server = running.server
@@ -275,7 +278,6 @@
         match outcome:
             case AnsweredWhole():
                 server.take_answer()
-                self._queue(running.record.service).note_completion(now)
                 if isinstance(running.record.state, Dispatched):
                     servers.note_work(server.service, now - running.record.state.sent_at)
             case ProvedNotRun(draining=True):
@@ -350,8 +352,7 @@
                 return []
 
     def _give_up(self, record: RequestRecord, reason: str, now: float) -> list[Action]:
-        wait = self._queue(record.service).expected_wait(record.priority)
-        retry_at = now + max(wait, DEFAULT_RETRY_SECONDS)
+        retry_at = now + max(self._expected_wait(record), DEFAULT_RETRY_SECONDS)
         record.give_up(reason, retry_at, self._node.invariants)
         return self._ended(record)
 
--- /dev/null
+++ b/marjoramford/experiments.py
@@ -0,0 +1,264 @@
+"""Long randomised runs of the balancers among fakes, judged by the fakes, measured as JSON."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from statistics import median, quantiles
+
+from .errors import InvariantViolationError
+from .standins.caller_sessions import CallerSession
+from .standins.deployments import Deployment, Traffic
+from .standins.faults import FAULT_SETS, Fault, provoke
+from .standins.worlds import START, World, WorldSettings
+
+WINDOW_SECONDS = 30.0
+WARM_SECONDS = 5.0
+SETTLE_SECONDS = 15.0
+STREAM_SESSIONS = 20
+SESSIONS_PER_KIND = 40
+UPLOAD_PIECES = 200
+REQUEST_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One run.
+
+    Attributes:
+        load: offered work as a share of what the slots can do.
+        faults: name of a set of faults.
+        fault_interval: mean seconds between faults.
+        request_seconds: time from a request to its deadline.
+    """
+
+    deployment: Deployment
+    seed: int
+    seconds: float
+    faults: str = "none"
+    load: float = 0.6
+    fault_interval: float = 5.0
+    request_seconds: float = REQUEST_SECONDS
+
+
+@dataclass(slots=True)
+class KindMeasure:
+    """What became of one kind of requests."""
+
+    offered: int = 0
+    whole: int = 0
+    not_run: int = 0
+    unknown: int = 0
+
+
+@dataclass(slots=True)
+class Measures:
+    """The brief's measures of one run; times in seconds."""
+
+    seed: int
+    deployment: str
+    seconds: float
+    faults: list[str] = field(default_factory=list)
+    kinds: dict[str, KindMeasure] = field(default_factory=dict)
+    weighted_service: float = 0.0
+    broken_flows: Counter[str] = field(default_factory=Counter)
+    flows: int = 0
+    upload_restarts: int = 0
+    foreign: int = 0
+    ran_twice: int = 0
+    false_not_run: int = 0
+    wrong_service: int = 0
+    late_work: int = 0
+    misdirected: int = 0
+    violation: str = ""
+    reopened: Counter[str] = field(default_factory=Counter)
+    spread_seconds: float = 0.0
+    spread_missing: int = 0
+    imbalance: dict[str, list[float]] = field(default_factory=dict)
+    imbalance_median: float = 1.0
+    imbalance_ninth_decile: float = 1.0
+    delivered_share_of_slots: float = 0.0
+    control_bytes_per_second: float = 0.0
+
+    @property
+    def promises_kept(self) -> bool:
+        """Whether nothing happened that must never happen."""
+        faults = (
+            self.foreign,
+            self.ran_twice,
+            self.false_not_run,
+            self.wrong_service,
+            self.late_work,
+            self.spread_missing,
+        )
+        planned = self.broken_flows["planned"]
+        return not any(faults) and not planned and not self.violation
+
+
+class Experiment:
+    """Drives one world with traffic and faults."""
+
+    def __init__(self, plan: Plan, settings: WorldSettings | None = None):
+        self._plan = plan
+        self._settings = settings or WorldSettings()
+        self.world = World(plan.deployment, plan.seed, self._settings)
+        self._sessions: dict[str, list[CallerSession]] = {}
+        self._measures = Measures(plan.seed, plan.deployment.name, plan.seconds)
+        self._busy_before: dict[str, float] = {}
+        self._end = START + WARM_SECONDS + plan.seconds
+        self._struck: list[Fault] = []
+
+    def run(self) -> Measures:
+        """Runs to the end and returns the measures; a violated invariant ends it early."""
+        world = self.world
+        try:
+            world.run_until(START + WARM_SECONDS)
+            self._start_sessions()
+            self._start_traffic()
+            self._schedule_faults()
+            world.after(WINDOW_SECONDS, self._close_window)
+            world.run_until(self._end)
+            self._measure_delivery()
+            world.run_until(self._end + SETTLE_SECONDS)
+        except InvariantViolationError as violation:
+            self._measures.violation = str(violation)
+        self._judge()
+        return self._measures
+
+    def _start_sessions(self) -> None:
+        for traffic in self._plan.deployment.traffic:
+            streams = max(2, int(STREAM_SESSIONS * traffic.share))
+            count = SESSIONS_PER_KIND if traffic.shape == "request" else streams
+            for number in range(count):
+                session = self.world.add_session(traffic.service, f"{traffic.kind}-{number}")
+                self._sessions.setdefault(traffic.kind, []).append(session)
+                if traffic.shape == "board":
+                    session.follow_board(self.world.now)
+                elif traffic.shape == "upload":
+                    session.start_upload(UPLOAD_PIECES, self.world.now)
+
+    def _start_traffic(self) -> None:
+        requests = [t for t in self._plan.deployment.traffic if t.shape == "request"]
+        for traffic in requests:
+            service = self._plan.deployment.service(traffic.service)
+            same = sum(t.share for t in requests if t.service == traffic.service)
+            capacity = service.servers * service.slots / self._settings.work_seconds
+            rate = self._plan.load * capacity * traffic.share / same
+            self._offer(traffic, rate)
+
+    def _offer(self, traffic: Traffic, rate: float) -> None:
+        world = self.world
+
+        def offer_one() -> None:
+            if world.now >= self._end:
+                return
+            session = world.random.choice(self._sessions[traffic.kind])
+            session.request(traffic.kind, world.now + self._plan.request_seconds, world.now)
+            world.after(world.random.expovariate(rate), offer_one)
+
+        world.after(world.random.expovariate(rate), offer_one)
+
+    def _schedule_faults(self) -> None:
+        faults = FAULT_SETS[self._plan.faults]
+        if not faults:
+            return
+        world = self.world
+        moment = world.now + 2.0
+        while moment < self._end:
+            fault = world.random.choice(faults)
+            world.at(moment, lambda fault=fault: self._strike(fault))
+            moment += world.random.expovariate(1.0 / self._plan.fault_interval)
+
+    def _strike(self, fault: Fault) -> None:
+        struck = provoke(self.world, fault)
+        if struck:
+            offset = self.world.now - START
+            self._measures.faults.append(f"{offset:.2f} {type(fault).__name__} {struck}")
+            self._struck.append(fault)
+
+    def _close_window(self) -> None:
+        world = self.world
+        shares: dict[str, list[float]] = {}
+        for name, node in world.server_nodes.items():
+            total = node.model.busy_seconds(world.now)
+            began = self._busy_before.get(name)
+            self._busy_before[name] = total
+            if began is not None and node.alive and node.model.draining_since is None:
+                shares.setdefault(node.record.service, []).append(total - began)
+        for service, busy in shares.items():
+            if sum(busy) > 0:
+                ratio = max(busy) * len(busy) / sum(busy)
+                self._measures.imbalance.setdefault(service, []).append(ratio)
+        if world.now < self._end:
+            world.after(WINDOW_SECONDS, self._close_window)
+
+    def _measure_delivery(self) -> None:
+        slots = sum(s.servers * s.slots for s in self._plan.deployment.services)
+        possible = slots * self._plan.seconds / self._settings.work_seconds
+        whole = sum(
+            outcome.result == "whole"
+            for sessions in self._sessions.values()
+            for session in sessions
+            for outcome in session.outcomes
+        )
+        self._measures.delivered_share_of_slots = whole / possible
+        elapsed = self.world.now - START
+        sent = [
+            node.balancer.node.counters["control_bytes_sent"] / elapsed
+            for node in self.world.alive_entry_vms()
+        ]
+        self._measures.control_bytes_per_second = max(sent, default=0.0)
+
+    def _judge(self) -> None:
+        measures = self._measures
+        for traffic in self._plan.deployment.traffic:
+            for session in self._sessions.get(traffic.kind, ()):
+                self._judge_session(traffic, session)
+        ledger = self.world.ledger
+        measures.wrong_service = ledger.foreign
+        measures.late_work = ledger.late_work
+        measures.misdirected = ledger.misdirected
+        measures.spread_seconds = max(self.world.spread_seconds, default=0.0)
+        measures.spread_missing = len(self.world.spread_pending) if self._is_calm() else 0
+        measures.weighted_service = self._weighted_service()
+        ratios = sorted(ratio for each in measures.imbalance.values() for ratio in each)
+        if ratios:
+            measures.imbalance_median = median(ratios)
+            measures.imbalance_ninth_decile = (
+                quantiles(ratios, n=10)[-1] if len(ratios) > 1 else ratios[0]
+            )
+
+    def _judge_session(self, traffic: Traffic, session: CallerSession) -> None:
+        measures = self._measures
+        measures.foreign += session.foreign
+        measures.reopened.update(session.reopened)
+        kind = measures.kinds.setdefault(traffic.kind, KindMeasure())
+        rules = self._plan.deployment.service(traffic.service).kinds
+        idempotent = any(rule.name == traffic.kind and rule.idempotent for rule in rules)
+        for outcome in session.outcomes:
+            runs = self.world.ledger.started[outcome.work]
+            kind.offered += 1
+            kind.whole += outcome.result == "whole"
+            kind.not_run += outcome.result == "not_run"
+            kind.unknown += outcome.result == "unknown"
+            measures.false_not_run += outcome.result == "not_run" and runs > 0
+            measures.ran_twice += runs > 1 and not idempotent
+        if traffic.shape != "request":
+            self._judge_stream(session)
+
+    def _judge_stream(self, session: CallerSession) -> None:
+        measures = self._measures
+        measures.flows += 1
+        if session.upload is not None:
+            measures.upload_restarts += session.upload.restarts
+        if session.was_broken(self.world.now):
+            measures.broken_flows["planned" if self._is_calm() else "unplanned"] += 1
+
+    def _is_calm(self) -> bool:
+        """Tells whether only planned changes were made."""
+        return all(fault in FAULT_SETS["planned"] for fault in self._struck)
+
+    def _weighted_service(self) -> float:
+        weights = {t.kind: t.weight for t in self._plan.deployment.traffic}
+        kinds = self._measures.kinds
+        offered = sum(weights[kind] * tally.offered for kind, tally in kinds.items())
+        whole = sum(weights[kind] * tally.whole for kind, tally in kinds.items())
+        return whole / offered if offered else 1.0
--- a/marjoramford/forwarders.py
+++ b/marjoramford/forwarders.py
@@ -9,6 +9,7 @@
 from .actions import Action, SendInner, SendToCaller
 from .addresses import Address
 from .admissions import FlowAdmission, relay
+from .backend_servers import BackendServer
 from .coordinators import RequestCoordinator
 from .entry_vms import Elsewhere, Here, Lost, Whereabouts
 from .keys import Purpose
@@ -155,15 +156,13 @@
         token = verified.token
         server = self._node.servers.get(token.server)
         actions: list[Action] = []
-        if server is not None:
-            contradicted = server.incarnation > token.server_incarnation
-            if contradicted or server.service != token.service or server.gone:
-                self._node.counters["server_lost"] += 1
-                reply = ServerLost(token.stream, "backend server is gone")
-                return [SendToCaller(token.caller, encode(reply))]
-            if server.leaving:
-                reply = ServerLeaving(token.stream)
-                actions.append(SendToCaller(token.caller, encode(reply)))
+        if self._is_contradicted(token, server):
+            self._node.counters["server_lost"] += 1
+            reply = ServerLost(token.stream, "backend server is gone")
+            return [SendToCaller(token.caller, encode(reply))]
+        if server is not None and server.leaving:
+            leaving = ServerLeaving(token.stream)
+            actions.append(SendToCaller(token.caller, encode(leaving)))
         self._node.counters["datagrams_forwarded"] += 1
         forward = Forward(
             token.service,
@@ -176,11 +175,20 @@
         actions.append(SendInner(token.server_address, encode(forward)))
         return actions
 
+    def _is_contradicted(self, token: Token, server: BackendServer | None) -> bool:
+        """Tells whether what is known of servers and addresses contradicts a token."""
+        owner = self._node.servers.at(token.server_address)
+        if owner is not None and owner.name != token.server and not owner.gone:
+            return True
+        if server is None:
+            return False
+        newer = server.incarnation > token.server_incarnation
+        return newer or server.service != token.service or server.gone
+
     def _request(
         self, token: Token, request: Request, payload: bytes, now: float, hops: int
     ) -> list[Action]:
-        flow = self._node.flows.get(token.flow)
-        if flow is not None and not flow.moved:
+        if self._decides_here(token):
             actions = self._coordinator.decide(token, request, token.caller, now)
             return actions + self._name_new_coordinator(token, now)
         match self._locate(token):
@@ -193,6 +201,19 @@
                 self._node.counters["coordinators_lost"] += 1
                 return [SendToCaller(token.caller, encode(CoordinatorLost(token.flow)))]
 
+    def _decides_here(self, token: Token) -> bool:
+        """Tells whether the flow is coordinated here, from its open or by a hand-over.
+
+        A token that names another coordinator proves that a frozen flow has moved there, even if
+        the successor's reply was lost.
+        """
+        node = self._node
+        flow = node.flows.get(token.flow)
+        if flow is None or flow.moved:
+            return False
+        ours = token.coordinator == node.coordinator or token.coordinator in node.adopted_from
+        return ours or not flow.frozen
+
     def _locate(self, token: Token) -> Whereabouts:
         successor = self._node.successor
         flow = self._node.flows.get(token.flow)
--- a/marjoramford/gossips.py
+++ b/marjoramford/gossips.py
@@ -20,6 +20,7 @@
 HTTP_OVERHEAD_BYTES = 330
 URGENT_FANOUT = 2
 URGENT_INTERVAL_SECONDS = 0.2
+WANT_INTERVAL_SECONDS = 1.0
 SAME_ZONE_SHARE = 0.7
 LOST_PEER_SHARE = 0.1
 NEWS_TRANSMISSIONS = 4
@@ -62,6 +63,7 @@
         self._publications = publications
         self._seeds = seeds
         self._next_round_at = 0.0
+        self._next_want_at = 0.0
         self._urgent_from: float | None = None
         self._farewell_sent = False
 
@@ -81,8 +83,9 @@
         node = self._node
         if node.own.state == "left":
             return self._farewell(now)
-        if node.wants:
-            self.hurry(now)
+        if node.wants and now >= self._next_want_at:
+            self._next_want_at = now + WANT_INTERVAL_SECONDS
+            self._urgent_from = now
         actions: list[Action] = []
         if self._urgent_from is not None and now >= self._urgent_from:
             self._urgent_from = None
@@ -118,7 +121,6 @@
         self._node.entry_vms.confirm(message.sender.name, message.sender.incarnation)
         for lease in message.grants[:MAX_LEASES]:
             self._node.limits.borrow(lease, now)
-            self._node.wants.pop((lease.service, lease.resource), None)
         return []
 
     def fail(self, event: GossipFailed, now: float) -> list[Action]:
@@ -137,12 +139,14 @@
     def _urgent_round(self, now: float) -> list[Action]:
         peers = self._node.entry_vms.reachable()
         behind = [vm for vm in peers if self._is_behind(vm)]
-        if self._node.wants:
-            behind = self._node.entry_vms.active()
+        if not behind and self._node.wants:
+            behind = self._node.random.sample(peers, min(URGENT_FANOUT, len(peers)))
         chosen = self._node.random.sample(behind, min(URGENT_FANOUT, len(behind)))
         if len(behind) > len(chosen):
             self.hurry(now)
-        return [sent for sent in (self._send(peer, now) for peer in chosen) if sent]
+        actions = [sent for sent in (self._send(peer, now) for peer in chosen) if sent]
+        self._node.wants.clear()
+        return actions
 
     def _is_behind(self, vm: EntryVm) -> bool:
         node = self._node
@@ -261,14 +265,16 @@
     def _grant(self, want: Want, now: float) -> Lease:
         node = self._node
         entry = node.catalogue.get(want.service)
-        expires_at = now + node.settings.times.limit_lease
         if entry is None or entry.retired or want.amount < 1:
-            return Lease(want.service, want.resource, 0, expires_at)
+            return Lease(want.service, want.resource, 0, now)
+        times = node.settings.times
         match want.resource:
             case Resource.CONNECTIONS:
                 limit, in_use = entry.max_connections, node.flows.open_flows(want.service)
+                expires_at = now + times.connection_lease
             case Resource.LOAD:
                 limit, in_use = entry.max_load, self._coordinator.load(want.service)
+                expires_at = now + times.load_lease
         return node.limits.lend(want, limit, in_use, expires_at, now)
 
     def _count_sent(self, size: int) -> None:
--- a/marjoramford/limits.py
+++ b/marjoramford/limits.py
@@ -102,7 +102,7 @@
     def lend(self, want: Want, limit: int, in_use: int, expires_at: float, now: float) -> Lease:
         """Lends up to half of what is spare; the lease's amount may be 0."""
         spare = self.available(want.service, want.resource, limit, now) - in_use
-        amount = max(0, min(want.amount, (spare + 1) // 2))
+        amount = max(0, min(want.amount, spare // 2))
         lease = Lease(want.service, want.resource, amount, expires_at)
         if amount:
             self._loans.setdefault((want.service, want.resource), _Loans()).lent.append(lease)
--- a/marjoramford/nodes.py
+++ b/marjoramford/nodes.py
@@ -6,6 +6,7 @@
 
 from .backend_servers import BackendServers
 from .budgets import TokenBucket
+from .choosers import Policy
 from .entry_vms import EntryVm, EntryVms
 from .flows import FlowTable
 from .invariants import Invariants
@@ -21,6 +22,7 @@
     """One entry VM's aggregates and its identity.
 
     Attributes:
+        policy: chooses backend servers for requests.
         draining_until: when a planned stop must be finished, in epoch seconds; None if none.
         successor: the entry VM that takes over the flows at a planned stop.
         adopted_from: leaving coordinators whose flows this one took over.
@@ -32,6 +34,7 @@
     keys: KeyRing
     random: Random
     invariants: Invariants
+    policy: Policy
     entry_vms: EntryVms
     limits: LimitShares
     control_bytes: TokenBucket
--- a/marjoramford/queues.py
+++ b/marjoramford/queues.py
@@ -5,7 +5,6 @@
 
 from .requests import RequestRecord, Waiting
 
-COMPLETION_WEIGHT = 0.2
 CLASS_RANKS = {"critical": 0, "standard": 1, "bulk": 2}
 
 
@@ -20,8 +19,6 @@
         self.class_rank = class_rank
         self._heap: list[tuple[int, int, RequestRecord]] = []
         self._arrivals = 0
-        self._completion_interval = 0.0
-        self._completed_at = 0.0
         self._by_priority: Counter[int] = Counter()
 
     def __len__(self) -> int:
@@ -63,17 +60,16 @@
             self._by_priority.subtract(record.priority for record in overdue)
         return [record for record in overdue if isinstance(record.state, Waiting)]
 
-    def note_completion(self, now: float) -> None:
-        """Counts one request served, which tells how fast the queue moves."""
-        if self._completed_at:
-            gap = now - self._completed_at
-            self._completion_interval += COMPLETION_WEIGHT * (gap - self._completion_interval)
-        self._completed_at = now
+    def expected_wait(self, priority: int, running: int, mean_work: float) -> float:
+        """Estimates how long a new request of a priority would wait.
 
-    def expected_wait(self, priority: int) -> float:
-        """Estimates how long a new request of a priority would wait, in seconds."""
+        Args:
+            priority: the new request's priority.
+            running: how many of the service's requests this entry VM has with servers.
+            mean_work: how long one takes, in seconds.
+        """
         ahead = sum(count for rank, count in self._by_priority.items() if rank <= priority)
-        return (ahead + 1) * self._completion_interval
+        return (ahead + 1) * mean_work / max(1, running)
 
     def _drop_ended(self) -> None:
         while self._heap and not isinstance(self._heap[0][2].state, Waiting):
--- a/marjoramford/settings.py
+++ b/marjoramford/settings.py
@@ -29,7 +29,8 @@
     gossip_timeout: Seconds = 0.8
     suspicion: Seconds = 3.0
     limit_hold: Seconds = 10.0
-    limit_lease: Seconds = 8.0
+    load_lease: Seconds = 2.0
+    connection_lease: Seconds = 60.0
     clock_error: Seconds = 0.5
     max_request: Seconds = 120.0
     drain: Seconds = 30.0
--- a/marjoramford/standins/caller_sessions.py
+++ b/marjoramford/standins/caller_sessions.py
@@ -162,6 +162,12 @@
         """Tells whether the stream has stood still for so long that it counts as broken."""
         return self._idle_seconds(now) > BROKEN_AFTER_SECONDS
 
+    def was_broken(self, now: float) -> bool:
+        """Tells whether the stream ever stood still for so long, or an upload began anew."""
+        gap = self.board.longest_gap if self.board is not None else 0.0
+        restarts = self.upload.restarts if self.upload is not None else 0
+        return self.stalled(now) or gap > BROKEN_AFTER_SECONDS or restarts > 0
+
     def poll(self, now: float) -> list[bytes]:
         """Returns the datagrams that are due."""
         self._expire(now)
--- /dev/null
+++ b/marjoramford/standins/faults.py
@@ -0,0 +1,334 @@
+"""Changes and failures that an experiment provokes in a world."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from ..events import DrainRequested
+from ..keys import KeyRing
+from .worlds import KEYS, PLATFORM, EntryNode, ServerNode, World, copy_platform
+
+MIN_ENTRY_VMS = 3
+DRAIN_SECONDS = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class StopEntryVm:
+    """A planned stop of an entry VM."""
+
+
+@dataclass(frozen=True, slots=True)
+class JoinEntryVm:
+    """A new entry VM."""
+
+
+@dataclass(frozen=True, slots=True)
+class KillEntryVm:
+    """An entry VM dies."""
+
+
+@dataclass(frozen=True, slots=True)
+class PauseEntryVm:
+    """An entry VM is paused and wakes up late, with an old view."""
+
+    seconds: float = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class StopServer:
+    """A planned stop of a backend server; another takes its place."""
+
+
+@dataclass(frozen=True, slots=True)
+class JoinServer:
+    """A new backend server, cold at first."""
+
+
+@dataclass(frozen=True, slots=True)
+class KillServer:
+    """A backend server dies; another takes its place."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReuseAddress:
+    """A backend server dies and its address goes to a server of another service."""
+
+
+@dataclass(frozen=True, slots=True)
+class CutZones:
+    """Two availability zones are cut off from each other."""
+
+    seconds: float = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class CutPlatform:
+    """An availability zone is cut off from the platform and from all other zones."""
+
+    seconds: float = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformDown:
+    """The platform does not answer."""
+
+    seconds: float = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformStale:
+    """The platform answers from an old copy."""
+
+    seconds: float = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReclassTwice:
+    """An operator reclasses an entry twice, quickly."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetireAndAdd:
+    """An operator retires an entry while flows are open, and adds it again."""
+
+    seconds: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class RotateKeys:
+    """The entry VMs change to the next key, one after the other."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoseHandoverAcks:
+    """An entry VM stops as planned while replies to hand-overs are lost."""
+
+    seconds: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class KillDuringHandover:
+    """An entry VM that stops as planned dies in the middle of it."""
+
+
+Fault = (
+    StopEntryVm
+    | JoinEntryVm
+    | KillEntryVm
+    | PauseEntryVm
+    | StopServer
+    | JoinServer
+    | KillServer
+    | ReuseAddress
+    | CutZones
+    | CutPlatform
+    | PlatformDown
+    | PlatformStale
+    | ReclassTwice
+    | RetireAndAdd
+    | RotateKeys
+    | LoseHandoverAcks
+    | KillDuringHandover
+)
+
+PLANNED: tuple[Fault, ...] = (
+    StopEntryVm(),
+    JoinEntryVm(),
+    StopServer(),
+    JoinServer(),
+    ReclassTwice(),
+    RetireAndAdd(),
+    RotateKeys(),
+)
+UNPLANNED: tuple[Fault, ...] = (
+    KillEntryVm(),
+    PauseEntryVm(),
+    KillServer(),
+    ReuseAddress(),
+    CutZones(),
+    CutPlatform(),
+    PlatformDown(),
+    PlatformStale(),
+    LoseHandoverAcks(),
+    KillDuringHandover(),
+)
+FAULT_SETS: dict[str, tuple[Fault, ...]] = {
+    "none": (),
+    "planned": PLANNED,
+    "unplanned": UNPLANNED,
+    "all": PLANNED + UNPLANNED,
+}
+
+
+def provoke(world: World, fault: Fault) -> str:
+    """Makes a fault happen now and returns what it struck, or nothing if it cannot happen."""
+    match fault:
+        case StopEntryVm():
+            return _on_entry_vm(world, lambda node: _stop_entry_vm(world, node))
+        case JoinEntryVm():
+            return _join_entry_vm(world)
+        case KillEntryVm():
+            return _on_entry_vm(world, lambda node: world.kill_entry_vm(node.record.name))
+        case PauseEntryVm(seconds=seconds):
+            return _on_entry_vm(world, lambda node: _pause(world, node, seconds))
+        case StopServer():
+            return _on_server(world, lambda node: _stop_server(world, node))
+        case JoinServer():
+            return _on_server(world, lambda node: _replace_server(world, node))
+        case KillServer():
+            return _on_server(world, lambda node: _kill_server(world, node))
+        case ReuseAddress():
+            return _on_server(world, lambda node: _reuse_address(world, node))
+        case LoseHandoverAcks(seconds=seconds):
+            world.drop_handover_acks = True
+            world.after(seconds, lambda: setattr(world, "drop_handover_acks", False))
+            return _on_entry_vm(world, lambda node: _stop_entry_vm(world, node))
+        case KillDuringHandover():
+            return _on_entry_vm(world, lambda node: _kill_during_handover(world, node))
+        case RotateKeys():
+            return _rotate_keys(world)
+        case _:
+            return _provoke_outside(world, fault)
+
+
+def _provoke_outside(world: World, fault: Fault) -> str:
+    zones = list(world.deployment.zones)
+    match fault:
+        case CutZones(seconds=seconds):
+            one, other = world.random.sample(zones, 2)
+            world.cut(one, other)
+            world.after(seconds, world.heal)
+            return f"{one} {other}"
+        case CutPlatform(seconds=seconds):
+            zone = world.random.choice(zones)
+            for other in (*zones, PLATFORM):
+                if other != zone:
+                    world.cut(zone, other)
+            world.after(seconds, world.heal)
+            return zone
+        case PlatformDown(seconds=seconds):
+            world.platform_down = True
+            world.after(seconds, lambda: setattr(world, "platform_down", False))
+            return PLATFORM
+        case PlatformStale(seconds=seconds):
+            world.stale_platform = copy_platform(world.platform)
+            world.after(seconds, lambda: setattr(world, "stale_platform", None))
+            _reclass(world, "standard")
+            return PLATFORM
+        case ReclassTwice():
+            _reclass(world, "bulk")
+            world.after(0.01, lambda: _reclass(world, "critical"))
+            return world.deployment.services[0].name
+        case RetireAndAdd(seconds=seconds):
+            return _retire_and_add(world, seconds)
+        case _:
+            raise TypeError(f"unknown fault {fault!r}")
+
+
+def _on_entry_vm(world: World, strike: Callable[[EntryNode], None]) -> str:
+    nodes = [
+        node for node in world.alive_entry_vms() if not node.balancer.draining and not node.paused
+    ]
+    if len(nodes) <= MIN_ENTRY_VMS:
+        return ""
+    node = world.random.choice(nodes)
+    strike(node)
+    return node.record.name
+
+
+def _on_server(world: World, strike: Callable[[ServerNode], None]) -> str:
+    working = [
+        node
+        for node in world.server_nodes.values()
+        if node.alive and node.model.draining_since is None
+    ]
+    by_service: dict[str, int] = {}
+    for node in working:
+        by_service[node.record.service] = by_service.get(node.record.service, 0) + 1
+    spare = [node for node in working if by_service[node.record.service] > 2]
+    if not spare:
+        return ""
+    node = world.random.choice(spare)
+    strike(node)
+    return node.record.name
+
+
+def _stop_entry_vm(world: World, node: EntryNode) -> None:
+    world.list_vm(node.record.name, "leaving")
+    world.submit(node, DrainRequested(world.now + DRAIN_SECONDS))
+
+
+def _kill_during_handover(world: World, node: EntryNode) -> None:
+    _stop_entry_vm(world, node)
+    delay = world.random.uniform(0.0, 0.05)
+    world.after(delay, lambda: world.kill_entry_vm(node.record.name))
+
+
+def _join_entry_vm(world: World) -> str:
+    number = len(world.entry_nodes)
+    name = f"entry-{number + 1}"
+    world.add_entry_vm(name, world.random.randrange(16), listed_at=world.now)
+    return name
+
+
+def _pause(world: World, node: EntryNode, seconds: float) -> None:
+    node.paused = True
+    world.after(seconds, lambda: world.wake(node))
+
+
+def _replace_server(world: World, node: ServerNode, service: str = "") -> None:
+    number = len(world.server_nodes) + 1
+    service = service or node.record.service
+    name = f"{service}-x{number}"
+    zone = world.random.randrange(16)
+    world.add_server(name, service, node.model.slots, zone, listed_at=world.now)
+
+
+def _stop_server(world: World, node: ServerNode) -> None:
+    world.drain_server(node.record.name)
+    _replace_server(world, node)
+
+
+def _kill_server(world: World, node: ServerNode) -> None:
+    world.kill_server(node.record.name)
+    _replace_server(world, node)
+
+
+def _reuse_address(world: World, node: ServerNode) -> None:
+    world.kill_server(node.record.name)
+    names = [service.name for service in world.deployment.services]
+    other = next(name for name in names if name != node.record.service)
+    name = f"{other}-x{len(world.server_nodes) + 1}"
+    world.add_server(name, other, node.model.slots, 0, host=node.record.host, listed_at=world.now)
+    _replace_server(world, node)
+
+
+def _rotate_keys(world: World) -> str:
+    for node in world.alive_entry_vms():
+        delay = world.random.uniform(0.0, 2.0)
+        ring = KeyRing(KEYS, 2)
+        world.after(delay, lambda node=node, ring=ring: setattr(node.balancer.node, "keys", ring))
+    return "all entry VMs"
+
+
+def _reclass(world: World, service_class: str) -> None:
+    entry = world.platform.catalogue.get(world.deployment.services[0].name)
+    assert entry is not None
+    changed = msgspec.structs.replace(entry, service_class=service_class)
+    world.platform.put_entry(changed)
+    if world.stale_platform is None:
+        world.note_catalogue_change()
+
+
+def _retire_and_add(world: World, seconds: float) -> str:
+    name = world.deployment.services[1].name
+    entry = world.platform.catalogue.get(name)
+    assert entry is not None
+    if entry.retired:
+        return ""
+    world.platform.retire(name)
+    world.note_catalogue_change()
+    added = msgspec.structs.replace(entry, retired=False)
+    world.after(seconds, lambda: world.platform.put_entry(added) and None)
+    return name
--- /dev/null
+++ b/marjoramford/standins/worlds.py
@@ -0,0 +1,606 @@
+"""The stand-ins and several balancers under one virtual clock: small fakes at the interfaces.
+
+A world carries out the balancers' actions over a fake network with latency, loss, duplication and
+cuts. The servers' ledger and the callers' sessions judge; the balancers' own counters do not.
+"""
+
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+import msgspec
+
+from ..actions import (
+    Action,
+    CancelDispatch,
+    Dispatch,
+    DrainFinished,
+    ReplyGossip,
+    ReplyHandover,
+    SendGossip,
+    SendHandover,
+    SendInner,
+    SendToCaller,
+)
+from ..addresses import Address
+from ..balancers import Balancer, Identity
+from ..choosers import Policy
+from ..events import (
+    AnsweredWhole,
+    BrokenOff,
+    CallerDatagram,
+    CatalogueRead,
+    DispatchEnded,
+    DispatchOutcome,
+    Event,
+    GossipFailed,
+    GossipReceived,
+    GossipReplied,
+    HandoverReceived,
+    HandoverReplied,
+    InnerDatagram,
+    LoadReported,
+    ProbeFailed,
+    ProvedNotRun,
+    Tick,
+    VmListRead,
+)
+from ..keys import KeyRing
+from ..messages import decode_forward, encode
+from ..records import VmRecord
+from ..settings import CoreSettings
+from .caller_sessions import CallerSession
+from .deployments import Deployment
+from .platform_models import PlatformModel
+from .server_models import Ledger, ServerModel, Started, TurnedAway
+
+PLATFORM = "platform"
+START = 1_000_000.0
+WATCH_SECONDS = 0.05
+PROBE_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.0
+GOSSIP_TIMEOUT_SECONDS = 0.8
+CALLER_POLL_SECONDS = 0.05
+LATE_WORK_SECONDS = 3.0
+KEYS = {1: b"first key of the ring", 2: b"second key of the ring"}
+
+
+@dataclass(slots=True)
+class WorldSettings:
+    """How the fakes behave; shares from 0 to 1, times in seconds."""
+
+    core: CoreSettings = field(default_factory=CoreSettings)
+    policy: Policy | None = None
+    loss: float = 0.0
+    duplication: float = 0.02
+    vm_list_lag: float = 1.0
+    report_lag: float = 0.0
+    liars: int = 0
+    work_seconds: float = 0.3
+    cold_seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class EntryNode:
+    """An entry VM process; events that arrive while it is paused wait for its waking."""
+
+    record: VmRecord
+    balancer: Balancer
+    alive: bool = True
+    paused: bool = False
+    inbox: list[Event] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ServerNode:
+    """A backend server process."""
+
+    record: VmRecord
+    model: ServerModel
+    alive: bool = True
+
+
+@dataclass(slots=True)
+class _Running:
+    node: EntryNode
+    server: ServerNode
+    order: Dispatch
+    ended: bool = False
+
+
+class World:
+    """Several entry VMs, backend servers, callers and the platform under a virtual clock."""
+
+    def __init__(self, deployment: Deployment, seed: int, settings: WorldSettings):
+        self.deployment = deployment
+        self.settings = settings
+        self.random = Random(seed)
+        self.now = START
+        self.platform = PlatformModel()
+        self.platform_down = False
+        self.stale_platform: PlatformModel | None = None
+        self.ledger = Ledger()
+        self.entry_nodes: dict[str, EntryNode] = {}
+        self.server_nodes: dict[str, ServerNode] = {}
+        self.sessions: list[CallerSession] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.drop_handover_acks = False
+        self.spread_pending: dict[int, float] = {}
+        self.spread_seconds: list[float] = []
+        self.leaving_since: dict[str, float] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._callers: dict[Address, CallerSession] = {}
+        self._by_inner: dict[Address, EntryNode | ServerNode] = {}
+        self._by_http: dict[Address, EntryNode | ServerNode] = {}
+        self._running: dict[tuple[str, int], _Running] = {}
+        self._hosts = 0
+        self._build()
+
+    # Time.
+
+    def at(self, moment: float, call: Callable[[], None]) -> None:
+        """Schedules a call."""
+        self._sequence += 1
+        heapq.heappush(self._queue, (moment, self._sequence, call))
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        """Schedules a call some time from now."""
+        self.at(self.now + seconds, call)
+
+    def run_until(self, moment: float) -> None:
+        """Runs everything that is due up to a moment."""
+        while self._queue and self._queue[0][0] <= moment:
+            due, _, call = heapq.heappop(self._queue)
+            self.now = max(self.now, due)
+            call()
+        self.now = max(self.now, moment)
+
+    # Building and changing the fleet.
+
+    def _build(self) -> None:
+        for service in self.deployment.services:
+            self.platform.put_entry(service.entry(self.deployment.owner, 1, 1))
+        number = 0
+        for service in self.deployment.services:
+            for index in range(service.servers):
+                number += 1
+                self.add_server(f"{service.name}-{index + 1}", service.name, service.slots, number)
+        for number in range(self.deployment.entry_vms):
+            self.add_entry_vm(f"entry-{number + 1}", number, listed_at=0.0)
+        for name in list(self.server_nodes)[: self.settings.liars]:
+            self.server_nodes[name].model.lies = True
+
+    def add_entry_vm(
+        self, name: str, zone_number: int, listed_at: float, incarnation: int = 1
+    ) -> EntryNode:
+        """Starts an entry VM and publishes it."""
+        zone = self.deployment.zones[zone_number % len(self.deployment.zones)]
+        host = self._next_host()
+        record = VmRecord(name, 1, incarnation, "entry", zone, host, 1, 3, 2, listed_at=listed_at)
+        inner, control = Address(host, 2), Address(host, 3)
+        identity = Identity(name, incarnation, zone, inner, control)
+        seeds = tuple(Address(n.record.host, 3) for n in self.entry_nodes.values() if n.alive)
+        balancer = Balancer(
+            identity,
+            self.settings.core,
+            KeyRing(KEYS, 1),
+            Random(self.random.getrandbits(64)),
+            self.now,
+            strict=True,
+            seeds=seeds[:3],
+            policy=self.settings.policy,
+        )
+        node = EntryNode(record, balancer)
+        self.entry_nodes[name] = node
+        self._by_inner[inner] = self._by_http[control] = node
+        self._publish_vm(record)
+        self._loop(node, 0.0, lambda: self._tick(node))
+        self._loop(node, WATCH_SECONDS, lambda: self._watch(node))
+        self._loop(node, PROBE_SECONDS, lambda: self._probe(node))
+        return node
+
+    def add_server(
+        self,
+        name: str,
+        service: str,
+        slots: int,
+        zone_number: int,
+        host: str | None = None,
+        incarnation: int = 1,
+        listed_at: float = 0.0,
+    ) -> ServerNode:
+        """Starts a backend server and publishes it; `host` may be one used before."""
+        zone = self.deployment.zones[zone_number % len(self.deployment.zones)]
+        host = host or self._next_host()
+        record = VmRecord(
+            name,
+            1,
+            incarnation,
+            "server",
+            zone,
+            host,
+            1,
+            3,
+            service=service,
+            slots=slots,
+            listed_at=listed_at,
+        )
+        work = {t.kind: self.settings.work_seconds for t in self.deployment.traffic}
+        model = ServerModel(
+            name,
+            incarnation,
+            service,
+            slots,
+            Random(self.random.getrandbits(64)),
+            self.ledger,
+            work,
+            self.settings.report_lag,
+            cold_until=self.now + self.settings.cold_seconds if listed_at else 0.0,
+        )
+        node = ServerNode(record, model)
+        self.server_nodes[name] = node
+        self._by_inner[Address(host, 1)] = self._by_http[Address(host, 3)] = node
+        self._publish_vm(record)
+        return node
+
+    def add_session(self, service: str, name: str) -> CallerSession:
+        """Adds a caller with one flow."""
+        session = CallerSession(service, Random(self.random.getrandbits(64)), name)
+        address = Address(f"caller-{len(self.sessions)}", 4)
+        self.sessions.append(session)
+        self._callers[address] = session
+        self._poll_caller(address, session)
+        return session
+
+    def list_vm(self, name: str, state: str) -> None:
+        """Puts a VM's state on the platform's list, which lags."""
+        self.after(
+            self.settings.vm_list_lag, lambda: self.platform.set_vm_state(name, state) and None
+        )
+
+    def kill_entry_vm(self, name: str) -> None:
+        """Ends an entry VM without warning; the list learns of it late."""
+        self.entry_nodes[name].alive = False
+        self.list_vm(name, "gone")
+
+    def kill_server(self, name: str) -> None:
+        """Ends a backend server without warning; its requests break off."""
+        node = self.server_nodes[name]
+        node.alive = False
+        for key, running in list(self._running.items()):
+            if running.server is node:
+                self._end_running(key, BrokenOff("server died"))
+        self.list_vm(name, "gone")
+
+    def drain_server(self, name: str) -> None:
+        """Starts a planned stop of a backend server; it exits when nothing runs there."""
+        node = self.server_nodes[name]
+        node.model.drain(self.now)
+        self.leaving_since[name] = self.now
+        self.list_vm(name, "leaving")
+        self._await_drained(node)
+
+    def _await_drained(self, node: ServerNode) -> None:
+        if node.model.is_drained(self.now):
+            node.alive = False
+            self.list_vm(node.record.name, "gone")
+        elif node.alive:
+            self.after(0.5, lambda: self._await_drained(node))
+
+    def wake(self, node: EntryNode) -> None:
+        """Ends a pause; what arrived meanwhile is handled late."""
+        node.paused = False
+        inbox, node.inbox = node.inbox, []
+        for event in inbox:
+            self._handle(node, event)
+
+    def note_catalogue_change(self) -> None:
+        """Begins to measure when the newest change is in force everywhere."""
+        self.spread_pending[self.platform.catalogue.through] = self.now
+
+    # Entry VMs.
+
+    def submit(self, node: EntryNode, event: Event) -> None:
+        """Gives an event to an entry VM, at once or when it wakes up."""
+        if not node.alive:
+            return
+        if node.paused:
+            node.inbox.append(event)
+        else:
+            self._handle(node, event)
+
+    def _handle(self, node: EntryNode, event: Event) -> list[Action]:
+        actions = node.balancer.handle(event, self.now)
+        for action in actions:
+            self._perform(node, action)
+        return actions
+
+    def _perform(self, node: EntryNode, action: Action) -> None:
+        match action:
+            case SendToCaller():
+                self._to_caller(node, action)
+            case SendInner():
+                self._send_inner(node, action)
+            case Dispatch():
+                self._dispatch(node, action)
+            case CancelDispatch(dispatch=number):
+                self._cancel(node, number)
+            case SendGossip():
+                self._gossip(node, action)
+            case SendHandover():
+                self._hand_over(node, action)
+            case DrainFinished():
+                self._exit(node)
+            case ReplyGossip() | ReplyHandover():
+                pass
+
+    def _exit(self, node: EntryNode) -> None:
+        if node.alive:
+            node.alive = False
+            self.list_vm(node.record.name, "gone")
+
+    def _tick(self, node: EntryNode) -> None:
+        if not node.paused:
+            self._handle(node, Tick())
+        next_at = node.balancer.next_tick_at(self.now)
+        wait = max(0.005, next_at - self.now)
+        self._loop(node, wait, lambda: self._tick(node))
+
+    def _watch(self, node: EntryNode) -> None:
+        reachable = not self.platform_down and not self._is_cut(node.record.zone, PLATFORM)
+        if reachable and not node.paused and node.balancer.is_reader():
+            core = node.balancer.node
+            platform = self.stale_platform or self.platform
+            if platform.catalogue.through > core.catalogue.through:
+                self.submit(
+                    node, CatalogueRead(*platform.read("catalogue", core.catalogue.through, 1000))
+                )
+            if platform.vms.through > core.vm_list.through:
+                self.submit(node, VmListRead(*platform.read("vms", core.vm_list.through, 1000)))
+        self._note_spread()
+        self._loop(node, WATCH_SECONDS, lambda: self._watch(node))
+
+    def _probe(self, node: EntryNode) -> None:
+        targets = node.balancer.probe_targets()
+        for number, target in enumerate(targets):
+            delay = PROBE_SECONDS * number / len(targets)
+            self._loop(node, delay, lambda target=target: self._probe_one(node, target))
+        self._loop(node, PROBE_SECONDS, lambda: self._probe(node))
+
+    def _probe_one(self, node: EntryNode, target) -> None:
+        server = self._by_http.get(target.address)
+        if not isinstance(server, ServerNode) or not self._reaches(node, server):
+            self.submit(node, ProbeFailed(target.server, target.incarnation))
+            return
+        busy, slots, draining, at = server.model.load(self.now)
+        report = LoadReported(target.server, target.incarnation, busy, slots, draining, at)
+        self.submit(node, report)
+
+    def _note_spread(self) -> None:
+        if not self.spread_pending:
+            return
+        lowest = min(
+            (n.balancer.node.catalogue.through for n in self.entry_nodes.values() if n.alive),
+            default=0,
+        )
+        for revision, began in list(self.spread_pending.items()):
+            if lowest >= revision:
+                self.spread_seconds.append(self.now - began)
+                del self.spread_pending[revision]
+
+    def _loop(self, node: EntryNode, seconds: float, call: Callable[[], None]) -> None:
+        def call_if_alive() -> None:
+            if node.alive:
+                call()
+
+        self.after(seconds, call_if_alive)
+
+    # Callers and the fabric.
+
+    def _poll_caller(self, address: Address, session: CallerSession) -> None:
+        for payload in session.poll(self.now):
+            self._from_caller(address, payload)
+        self.after(CALLER_POLL_SECONDS, lambda: self._poll_caller(address, session))
+
+    def _from_caller(self, address: Address, payload: bytes) -> None:
+        for _ in range(self._copies()):
+            node = self.random.choice(self._sprayed_over())
+            call = partial(self.submit, node, CallerDatagram(address, payload))
+            self.after(self._caller_latency(), call)
+
+    def _sprayed_over(self) -> list[EntryNode]:
+        listed = [
+            node
+            for name, node in self.entry_nodes.items()
+            if (record := self.platform.vms.get(name)) is not None and record.state == "live"
+        ]
+        return listed or list(self.entry_nodes.values())
+
+    def _to_caller(self, node: EntryNode, action: SendToCaller) -> None:
+        session = self._callers.get(action.caller)
+        if session is None:
+            return
+        for _ in range(self._copies()):
+            self.after(self._caller_latency(), lambda: session.receive(action.payload, self.now))
+
+    def _copies(self) -> int:
+        if self.random.random() < self.settings.loss:
+            return 0
+        return 2 if self.random.random() < self.settings.duplication else 1
+
+    def _caller_latency(self) -> float:
+        return self.deployment.caller_latency_seconds * self.random.uniform(0.5, 2.0)
+
+    # Between entry VMs and backend servers.
+
+    def _send_inner(self, node: EntryNode, action: SendInner) -> None:
+        target = self._by_inner.get(action.address)
+        if target is None or self.random.random() < self.settings.loss:
+            return
+        latency = self._zone_latency(node, target)
+        sender = Address(node.record.host, 2)
+        match target:
+            case EntryNode():
+                event = InnerDatagram(sender, action.payload)
+                self.after(
+                    latency, lambda: self._reaches(node, target) and self.submit(target, event)
+                )
+            case ServerNode():
+                self.after(latency, lambda: self._to_server(node, target, action.payload))
+
+    def _to_server(self, node: EntryNode, target: ServerNode, payload: bytes) -> None:
+        if not self._reaches(node, target):
+            return
+        message = decode_forward(payload).unwrap()
+        for reply in target.model.receive(message, self.now):
+            event = InnerDatagram(Address(target.record.host, 1), encode(reply))
+            latency = self._zone_latency(node, target)
+            self.after(latency, lambda event=event: self.submit(node, event))
+
+    def _dispatch(self, node: EntryNode, order: Dispatch) -> None:
+        server = self._by_http.get(order.address)
+        if not isinstance(server, ServerNode) or not self._reaches(node, server):
+            outcome = ProvedNotRun("connection was not made", unreachable=True)
+            wait = CONNECT_TIMEOUT_SECONDS if server else 0.002
+            self.after(wait, lambda: self.submit(node, DispatchEnded(order.dispatch, outcome)))
+            return
+        key = (f"{node.record.name}/{node.record.incarnation}", order.dispatch)
+        self._running[key] = _Running(node, server, order)
+        self.after(self._zone_latency(node, server), lambda: self._arrive(key))
+
+    def _arrive(self, key: tuple[str, int]) -> None:
+        running = self._running.get(key)
+        if running is None:
+            return
+        order, server = running.order, running.server
+        if self.now >= order.deadline:
+            self._end_running(key, ProvedNotRun("deadline"))
+            return
+        since = self.leaving_since.get(server.record.name)
+        started = server.model.submit(
+            order.service, order.server, order.server_incarnation, order.kind, order.body, self.now
+        )
+        match started:
+            case TurnedAway(reason=reason):
+                draining, mismatch = reason == "draining", reason == "mismatch"
+                outcome = ProvedNotRun(reason, draining=draining, mismatch=mismatch)
+                self._end_running(key, outcome)
+            case Started(seconds=seconds, answer=answer):
+                late = since is not None and self.now - since > LATE_WORK_SECONDS
+                self.ledger.late_work += late
+                self.after(seconds, lambda: self._complete(key, order.body, server, answer))
+
+    def _complete(
+        self, key: tuple[str, int], work: bytes, server: ServerNode, answer: bytes
+    ) -> None:
+        server.model.finish(work, self.now)
+        running = self._running.get(key)
+        if running is not None and self._reaches(running.node, server):
+            self._end_running(key, AnsweredWhole(answer))
+        else:
+            self._end_running(key, BrokenOff("connection broke"))
+
+    def _end_running(self, key: tuple[str, int], outcome: DispatchOutcome) -> None:
+        running = self._running.pop(key, None)
+        if running is None:
+            return
+        event = DispatchEnded(running.order.dispatch, outcome)
+        latency = self._zone_latency(running.node, running.server)
+        self.after(latency, lambda: self.submit(running.node, event))
+
+    def _cancel(self, node: EntryNode, number: int) -> None:
+        self._running.pop((f"{node.record.name}/{node.record.incarnation}", number), None)
+
+    # Between entry VMs.
+
+    def _gossip(self, node: EntryNode, action: SendGossip) -> None:
+        self._post(
+            node,
+            action.address,
+            GossipReceived(action.payload),
+            lambda reply: GossipReplied(action.peer, reply),
+            GossipFailed(action.peer, action.incarnation),
+        )
+
+    def _hand_over(self, node: EntryNode, action: SendHandover) -> None:
+        self._post(
+            node,
+            action.address,
+            HandoverReceived(action.payload),
+            lambda reply: HandoverReplied(action.batch, None if self.drop_handover_acks else reply),
+            HandoverReplied(action.batch, None),
+        )
+
+    def _post(
+        self,
+        node: EntryNode,
+        address: Address,
+        event: Event,
+        make_reply: Callable[[bytes], Event],
+        failure: Event,
+    ) -> None:
+        target = self._by_http.get(address)
+
+        def arrive() -> None:
+            reply = self._ask(node, target, event)
+            if reply:
+                back = self._zone_latency(node, target)
+                self.after(back, lambda: self.submit(node, make_reply(reply)))
+            else:
+                self.after(GOSSIP_TIMEOUT_SECONDS, lambda: self.submit(node, failure))
+
+        self.after(self.deployment.zone_latency_seconds, arrive)
+
+    def _ask(self, node: EntryNode, target, event: Event) -> bytes | None:
+        if not isinstance(target, EntryNode) or not self._reaches(node, target) or target.paused:
+            return None
+        for action in self._handle(target, event):
+            match action:
+                case ReplyGossip(payload=payload) | ReplyHandover(payload=payload):
+                    return payload
+        return None
+
+    # The network between zones.
+
+    def cut(self, one: str, other: str) -> None:
+        """Cuts two availability zones, or one and the platform, off from each other."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.cuts.clear()
+
+    def _is_cut(self, one: str, other: str) -> bool:
+        return one != other and frozenset((one, other)) in self.cuts
+
+    def _reaches(self, node: EntryNode, target: EntryNode | ServerNode) -> bool:
+        return target.alive and not self._is_cut(node.record.zone, target.record.zone)
+
+    def _zone_latency(self, node: EntryNode, target: EntryNode | ServerNode) -> float:
+        same = node.record.zone == target.record.zone
+        base = self.deployment.zone_latency_seconds * (0.2 if same else 1.0)
+        return base * self.random.uniform(0.8, 1.5)
+
+    def _publish_vm(self, record: VmRecord) -> None:
+        self.platform.put_vm(record)
+
+    def _next_host(self) -> str:
+        self._hosts += 1
+        return f"host-{self._hosts}"
+
+    def alive_entry_vms(self) -> Iterable[EntryNode]:
+        """Returns the entry VM processes that run."""
+        return [node for node in self.entry_nodes.values() if node.alive]
+
+
+def copy_platform(platform: PlatformModel) -> PlatformModel:
+    """Returns a copy that stays as it is: what a stale replica answers from."""
+    copy = PlatformModel()
+    for source, target in ((platform.catalogue, copy.catalogue), (platform.vms, copy.vms)):
+        for record in source.since(0, len(source) + 1).records:
+            target.apply(msgspec.structs.replace(record))
+        target.advance(source.through)
+    return copy
