Truthful and early refusals under overload; the decision rule checked over all states

Cause: at twice the slots, 5 to 9% of the work that ran was for nothing: it was dispatched too late to end before its deadline (outcome unknown). Ruled out: idle slots (busy 98.5%).

Changes: a waiting request starts only while its deadline leaves the time that nearly all work takes (mean and three deviations); the back-off after a shed doubles; the end of the queue is refused as soon as it is hopeless; the queue's speed is a decayed rate of completions.

The decision rule is explored over every reachable state with the real aggregates; it turns red when others may decide, and when a hand-over is not frozen. Six planted faults are each noticed by the fakes or by an invariant.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -23,7 +23,33 @@
 TRUST_LOSS = 0.5
 TRUST_GAIN = 0.02
 DISTRUST_BELOW = 0.3
-MEAN_WORK_WEIGHT = 0.1
+WORK_TIME_WEIGHT = 0.1
+DEFAULT_WORK_SECONDS = 0.1
+LONG_WORK_DEVIATIONS = 3.0
+MAX_SHED_DOUBLINGS = 4
+
+
+@dataclass(slots=True)
+class WorkTime:
+    """How long a service's requests take, as this entry VM saw it, in seconds."""
+
+    mean: float = DEFAULT_WORK_SECONDS
+    deviation: float = 0.0
+    known: bool = False
+
+    @property
+    def long(self) -> float:
+        """A time within which nearly all requests end."""
+        return self.mean + LONG_WORK_DEVIATIONS * self.deviation
+
+    def note(self, seconds: float) -> None:
+        """Counts one request."""
+        if not self.known:
+            self.known = True
+            self.mean = seconds
+        difference = seconds - self.mean
+        self.mean += WORK_TIME_WEIGHT * difference
+        self.deviation += WORK_TIME_WEIGHT * (abs(difference) - self.deviation)
 
 
 @dataclass(slots=True)
@@ -33,6 +59,7 @@
     Attributes:
         in_progress: requests that this entry VM has dispatched and that have not ended.
         limit: how many of its own requests this entry VM lets run there at a time.
+        sheds: how many it shed in a row, up to a bound.
         closed_until: no dispatch before this time after the server shed one, in epoch seconds.
         ejected_until: not chosen before this time unless every server is bad, in epoch seconds.
         warm_at: when its cold start is over, in epoch seconds.
@@ -54,6 +81,7 @@
     closed_until: float = 0.0
     ejected_until: float = 0.0
     failures: int = 0
+    sheds: int = 0
     trust: float = 1.0
     reported_busy: int = 0
     reported_at: float = 0.0
@@ -84,11 +112,13 @@
     def take_answer(self) -> None:
         """Notes a request that it answered."""
         self.failures = 0
+        self.sheds = 0
         self.limit = min(float(max(self.slots, MIN_LIMIT)), self.limit + LIMIT_INCREASE)
 
     def take_shed(self, closed_until: float) -> None:
         """Notes a request that it refused, for want of a slot, without running it."""
         self.failures = 0
+        self.sheds = min(self.sheds + 1, MAX_SHED_DOUBLINGS)
         self.closed_until = closed_until
         self.limit = max(MIN_LIMIT, self.limit * LIMIT_DECREASE)
         if self.reported_at:
@@ -121,7 +151,7 @@
         self._by_name: dict[str, BackendServer] = {}
         self._by_service: defaultdict[str, dict[str, BackendServer]] = defaultdict(dict)
         self._by_address: dict[Address, BackendServer] = {}
-        self._mean_work: dict[str, float] = {}
+        self._work_times: defaultdict[str, WorkTime] = defaultdict(WorkTime)
 
     def at(self, address: Address) -> BackendServer | None:
         """Returns the server listed last at a data address."""
@@ -139,14 +169,9 @@
         """Returns the servers of a service, leaving and ejected ones included."""
         return self._by_service[service].values() if service in self._by_service else ()
 
-    def mean_work_seconds(self, service: str) -> float:
-        """Returns the mean time that the service's requests take, as this entry VM saw it."""
-        return self._mean_work.get(service, 0.1)
-
-    def note_work(self, service: str, seconds: float) -> None:
-        """Counts the time that one request of a service took."""
-        mean = self._mean_work.get(service, seconds)
-        self._mean_work[service] = mean + MEAN_WORK_WEIGHT * (seconds - mean)
+    def work_time(self, service: str) -> WorkTime:
+        """Returns how long a service's requests take."""
+        return self._work_times[service]
 
     def apply_record(self, record: VmRecord) -> None:
         """Takes a backend server's record from the platform's list."""
--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -145,7 +145,7 @@
     def pump(self, service: str, now: float) -> list[Action]:
         """Dispatches waiting requests of a service while servers are open."""
         queue = self._queues.get(service)
-        actions: list[Action] = []
+        actions = self._give_up_late(queue, service, now) if queue and len(queue) else []
         while queue and len(queue):
             record = queue.pop()
             if record is None:
@@ -196,18 +196,34 @@
             started = self._start(record, now)
             if started is not None:
                 return [started]
-        work = self._node.servers.mean_work_seconds(record.service)
-        if now + self._expected_wait(record) + work > record.deadline:
+        if now + self._expected_wait(record, now) > self._latest_start(record):
             return self._give_up(record, "deadline cannot be met", now)
         if len(queue) >= self._node.settings.load.max_waiting_per_service:
             return self._give_up(record, "queue is full", now)
         queue.push(record)
-        return self._bound_waiting(now)
+        return self._give_up_hopeless(queue, record.service, now) + self._bound_waiting(now)
+
+    def _expected_wait(self, record: RequestRecord, now: float) -> float:
+        mean_work = self._node.servers.work_time(record.service).mean
+        return self._queue(record.service).expected_wait(record.priority, mean_work, now)
+
+    def _give_up_late(self, queue: WaitingQueue, service: str, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for record in queue.drop_late(self._node.servers.work_time(service).long, now):
+            actions += self._give_up(record, "deadline cannot be met", now)
+        return actions
+
+    def _give_up_hopeless(self, queue: WaitingQueue, service: str, now: float) -> list[Action]:
+        """Refuses requests at once that more urgent ones have pushed too far back."""
+        work = self._node.servers.work_time(service)
+        actions: list[Action] = []
+        for record in queue.drop_hopeless(work.long, work.mean, now):
+            actions += self._give_up(record, "deadline cannot be met", now)
+        return actions
 
-    def _expected_wait(self, record: RequestRecord) -> float:
-        mean_work = self._node.servers.mean_work_seconds(record.service)
-        running = self._load[record.service]
-        return self._queue(record.service).expected_wait(record.priority, running, mean_work)
+    def _latest_start(self, record: RequestRecord) -> float:
+        """Returns when a waiting request must start for its answer to come in time."""
+        return record.deadline - self._node.servers.work_time(record.service).long
 
     def _bound_waiting(self, now: float) -> list[Action]:
         if self.waiting <= self._node.settings.load.max_waiting:
@@ -219,13 +235,15 @@
 
     def _start(self, record: RequestRecord, now: float) -> Dispatch | None:
         node = self._node
-        if not self._has_load_share(record.service, now):
+        if self._spare_load(record.service, now) < 1:
             return None
         server = self._choose(record, now)
         if server is None:
             return None
         same = server.service == record.service
         node.invariants.check(same, Invariant.SAME_SERVICE, (record.service, server.name))
+        held = self._spare_load(record.service, now) >= 1
+        node.invariants.check(held, Invariant.LIMIT_HELD, record.service)
         self._dispatches += 1
         record.dispatch(server.name, self._dispatches, now, node.invariants)
         self._running[self._dispatches] = _Running(record, server)
@@ -245,16 +263,17 @@
             record.body,
         )
 
-    def _has_load_share(self, service: str, now: float) -> bool:
+    def _spare_load(self, service: str, now: float) -> int:
+        """Returns how many more requests of a service may run; asks for more when none may."""
         entry = self._node.catalogue.get(service)
         if entry is None:
-            return True
+            return 1
         limits = self._node.limits
         available = limits.available(service, Resource.LOAD, entry.max_load, now)
-        if self._load[service] < available:
-            return True
-        self._node.want(Want(service, Resource.LOAD, 1 + len(self._queue(service))))
-        return False
+        spare = available - self._load[service]
+        if spare < 1:
+            self._node.want(Want(service, Resource.LOAD, 1 + len(self._queue(service))))
+        return spare
 
     def _choose(self, record: RequestRecord, now: float) -> BackendServer | None:
         node = self._node
@@ -267,7 +286,7 @@
         servers = [server for server in candidates if server.is_open(now)]
         if not servers:
             return None
-        mean_work = node.servers.mean_work_seconds(record.service)
+        mean_work = node.servers.work_time(record.service).mean
         key = f"{record.flow}/{record.number}"
         choice = Choice(key, node.own.zone, mean_work, now)
         return choose(node.policy, servers, choice, node.random)
@@ -278,8 +297,10 @@
         match outcome:
             case AnsweredWhole():
                 server.take_answer()
+                self._queue(running.record.service).note_completion(now)
                 if isinstance(running.record.state, Dispatched):
-                    servers.note_work(server.service, now - running.record.state.sent_at)
+                    seconds = now - running.record.state.sent_at
+                    servers.work_time(server.service).note(seconds)
             case ProvedNotRun(draining=True):
                 server.start_leaving("refusal")
             case ProvedNotRun(mismatch=True):
@@ -295,8 +316,9 @@
                 servers.eject_if_bad(server, now)
 
     def _shed_backoff(self, server: BackendServer) -> float:
-        slot_frees = self._node.servers.mean_work_seconds(server.service) / max(1, server.slots)
-        backoff = slot_frees * SHED_BACKOFF_SHARE * self._node.random.uniform(0.5, 1.5)
+        slot_frees = self._node.servers.work_time(server.service).mean / max(1, server.slots)
+        doubled = slot_frees * SHED_BACKOFF_SHARE * 2**server.sheds
+        backoff = doubled * self._node.random.uniform(0.5, 1.5)
         return min(max(backoff, MIN_SHED_BACKOFF_SECONDS), MAX_SHED_BACKOFF_SECONDS)
 
     def _after_dispatch(
@@ -352,7 +374,7 @@
                 return []
 
     def _give_up(self, record: RequestRecord, reason: str, now: float) -> list[Action]:
-        retry_at = now + max(self._expected_wait(record), DEFAULT_RETRY_SECONDS)
+        retry_at = now + max(self._expected_wait(record, now), DEFAULT_RETRY_SECONDS)
         record.give_up(reason, retry_at, self._node.invariants)
         return self._ended(record)
 
--- a/marjoramford/experiments.py
+++ b/marjoramford/experiments.py
@@ -192,7 +192,9 @@
 
     def _measure_delivery(self) -> None:
         slots = sum(s.servers * s.slots for s in self._plan.deployment.services)
-        possible = slots * self._plan.seconds / self._settings.work_seconds
+        ledger = self.world.ledger
+        mean_work = ledger.work_seconds / max(1, sum(ledger.started.values()))
+        possible = slots * self._plan.seconds / mean_work if mean_work else 1.0
         whole = sum(
             outcome.result == "whole"
             for sessions in self._sessions.values()
--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -159,7 +159,7 @@
         node.adopted_from.update(batch.origins)
         for state in batch.flows:
             if state.number not in node.flows:
-                node.flows.add(state.number, _thaw(state))
+                node.flows.add(state.number, thaw_flow(state))
                 self._coordinator.schedule_forgetting(state.number, now)
         log_event(
             logger, LogEvent.HANDOVER_ADOPTED, sender=batch.sender.entry_vm, flows=len(batch.flows)
@@ -198,7 +198,7 @@
             assert flow is not None
             flow.freeze()
             node.invariants.check(flow.frozen and flow.idle, Invariant.FROZEN_HANDOVER, number)
-            states.append(_freeze(number, flow))
+            states.append(freeze_state(number, flow))
         self._batches += 1
         batch = HandoverBatch(
             node.coordinator,
@@ -252,7 +252,8 @@
             return None
 
 
-def _freeze(number: int, flow: Flow) -> FlowState:
+def freeze_state(number: int, flow: Flow) -> FlowState:
+    """Returns what the successor needs to know of a flow without open requests."""
     records = list(flow.records())
     return FlowState(
         number,
@@ -280,7 +281,8 @@
             raise AssertionError(f"a request in state {state} cannot be handed over")
 
 
-def _thaw(state: FlowState) -> Flow:
+def thaw_flow(state: FlowState) -> Flow:
+    """Returns a flow as its former coordinator froze it."""
     flow = Flow(state.service, state.server, state.expires_at, state.highest, state.seen)
     for final in state.finals:
         assert state.caller is not None
--- a/marjoramford/queues.py
+++ b/marjoramford/queues.py
@@ -1,10 +1,12 @@
 """Requests that wait for a backend server, in order of priority, bounded in number."""
 
 import heapq
+import math
 from collections import Counter
 
 from .requests import RequestRecord, Waiting
 
+RATE_SECONDS = 2.0
 CLASS_RANKS = {"critical": 0, "standard": 1, "bulk": 2}
 
 
@@ -19,6 +21,8 @@
         self.class_rank = class_rank
         self._heap: list[tuple[int, int, RequestRecord]] = []
         self._arrivals = 0
+        self._rate = 0.0
+        self._rated_at = 0.0
         self._by_priority: Counter[int] = Counter()
 
     def __len__(self) -> int:
@@ -51,25 +55,50 @@
         self._by_priority[last[2].priority] -= 1
         return last[2]
 
-    def drop_overdue(self, now: float) -> list[RequestRecord]:
-        """Removes and returns the requests whose deadline has passed."""
-        overdue = [item[2] for item in self._heap if item[2].deadline <= now]
-        if overdue:
-            self._heap = [item for item in self._heap if item[2].deadline > now]
+    def drop_late(self, long_work: float, now: float) -> list[RequestRecord]:
+        """Removes and returns the requests that no longer have `long_work` seconds left."""
+        latest = now + long_work
+        late = [item[2] for item in self._heap if item[2].deadline < latest]
+        if late:
+            self._heap = [item for item in self._heap if item[2].deadline >= latest]
             heapq.heapify(self._heap)
-            self._by_priority.subtract(record.priority for record in overdue)
-        return [record for record in overdue if isinstance(record.state, Waiting)]
+            self._by_priority.subtract(record.priority for record in late)
+        return [record for record in late if isinstance(record.state, Waiting)]
 
-    def expected_wait(self, priority: int, running: int, mean_work: float) -> float:
-        """Estimates how long a new request of a priority would wait.
+    def note_completion(self, now: float) -> None:
+        """Counts one request that a server answered, which tells how fast the queue moves."""
+        self._rate = self._rate_at(now) + 1.0 / RATE_SECONDS
+        self._rated_at = now
+
+    def expected_wait(self, priority: int, mean_work: float, now: float) -> float:
+        """Estimates how long a new request of a priority would wait, in seconds.
 
         Args:
             priority: the new request's priority.
-            running: how many of the service's requests this entry VM has with servers.
-            mean_work: how long one takes, in seconds.
+            mean_work: how long one request takes, in seconds.
+            now: epoch seconds.
         """
         ahead = sum(count for rank, count in self._by_priority.items() if rank <= priority)
-        return (ahead + 1) * mean_work / max(1, running)
+        return self._time_to_serve(ahead + 1, mean_work, now)
+
+    def drop_hopeless(self, long_work: float, mean_work: float, now: float) -> list[RequestRecord]:
+        """Removes requests from the end of the queue that it will not reach in time."""
+        dropped = []
+        while self._heap:
+            last = max(self._heap)[2]
+            wait = self._time_to_serve(len(self), mean_work, now)
+            if now + wait <= last.deadline - long_work:
+                break
+            self.drop_last()
+            if isinstance(last.state, Waiting):
+                dropped.append(last)
+        return dropped
+
+    def _time_to_serve(self, count: int, mean_work: float, now: float) -> float:
+        return count / max(self._rate_at(now), 1.0 / mean_work)
+
+    def _rate_at(self, now: float) -> float:
+        return self._rate * math.exp(-max(0.0, now - self._rated_at) / RATE_SECONDS)
 
     def _drop_ended(self) -> None:
         while self._heap and not isinstance(self._heap[0][2].state, Waiting):
--- a/marjoramford/standins/caller_sessions.py
+++ b/marjoramford/standins/caller_sessions.py
@@ -142,7 +142,7 @@
     def request(self, kind: str, deadline: float, now: float) -> bytes:
         """Asks for one piece of work and returns its identifier."""
         self._works += 1
-        work = f"{self.name}-{self._works}".encode()
+        work = f"{self.service}:{self.name}-{self._works}".encode()
         self._unsent.append(Pending(work, kind, deadline, now))
         return work
 
@@ -299,7 +299,7 @@
     def _stream_bodies(self) -> list[bytes]:
         bodies = []
         if self.board is not None:
-            bodies.append(encode_body(Follow(self.board.have, self.board.began_at)))
+            bodies.append(encode_body(Follow(self.service, self.board.have, self.board.began_at)))
         upload = self.upload
         if upload is not None and not upload.whole:
             last = min(upload.total, upload.have + WINDOW_PIECES)
@@ -309,7 +309,7 @@
 
     def _upload_piece(self, upload: Upload, index: int) -> UploadPiece:
         body = upload_piece(upload.number, index)
-        return UploadPiece(upload.number, index, upload.total, body)
+        return UploadPiece(self.service, upload.number, index, upload.total, body)
 
     def _take_piece(self, stream: int, payload: bytes, now: float) -> None:
         if stream != self._stream:
--- a/marjoramford/standins/faults.py
+++ b/marjoramford/standins/faults.py
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformStale:
-    """The platform answers from an old copy."""
+    """A change is published, and soon after the platform answers from an older copy."""
 
     seconds: float = 8.0
 
@@ -212,9 +212,10 @@
             world.after(seconds, lambda: setattr(world, "platform_down", False))
             return PLATFORM
         case PlatformStale(seconds=seconds):
-            world.stale_platform = copy_platform(world.platform)
-            world.after(seconds, lambda: setattr(world, "stale_platform", None))
+            old = copy_platform(world.platform)
             _reclass(world, "standard")
+            world.after(1.0, lambda: setattr(world, "stale_platform", old))
+            world.after(1.0 + seconds, lambda: setattr(world, "stale_platform", None))
             return PLATFORM
         case ReclassTwice():
             _reclass(world, "bulk")
--- a/marjoramford/standins/server_models.py
+++ b/marjoramford/standins/server_models.py
@@ -19,6 +19,7 @@
     decode_body,
     encode_body,
     upload_digest,
+    work_service,
 )
 
 BOARD_PIECES_PER_SECOND = 5.0
@@ -32,8 +33,10 @@
 
     Attributes:
         started: how often each piece of work was started, by its identifier.
-        foreign: datagrams or requests that a server got for another service or server and ran.
+        foreign: work or stream bodies taken by a server of a service that the caller did not mean.
         late_work: new work that a server started after it had been leaving for long.
+        misdirected: what servers refused since it named another service, server or incarnation.
+        work_seconds: sum of the time that all started work takes.
     """
 
     started: Counter[bytes] = field(default_factory=Counter)
@@ -41,6 +44,7 @@
     foreign: int = 0
     late_work: int = 0
     misdirected: int = 0
+    work_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,17 +120,20 @@
         self, service: str, server: str, incarnation: int, kind: str, work: bytes, now: float
     ) -> Started | TurnedAway:
         """Starts a request or turns it away."""
-        if (service, server, incarnation) != (self.service, self.name, self.incarnation):
+        if not self._is_for_me(service, server, incarnation):
             self.ledger.misdirected += 1
             return TurnedAway("mismatch")
         if self.draining_since is not None:
             return TurnedAway("draining")
         if self.busy >= self.slots:
             return TurnedAway("shed")
+        self.ledger.foreign += work_service(work) != self.service
         self._set_busy(self.busy + 1, now)
         self.ledger.started[work] += 1
         mean = self._work_seconds.get(kind, 0.3) * (2.0 if now < self._cold_until else 1.0)
-        return Started(self._random.expovariate(1.0 / mean), answer_body(service, kind, work))
+        seconds = self._random.expovariate(1.0 / mean)
+        self.ledger.work_seconds += seconds
+        return Started(seconds, answer_body(service, kind, work))
 
     def finish(self, work: bytes, now: float) -> None:
         """Frees the slot of a request that ended."""
@@ -161,11 +168,7 @@
 
     def receive(self, message: Forward, now: float) -> list[Return | Mismatch]:
         """Answers a datagram of a stream."""
-        if (message.service, message.server, message.server_incarnation) != (
-            self.service,
-            self.name,
-            self.incarnation,
-        ):
+        if not self._is_for_me(message.service, message.server, message.server_incarnation):
             self.ledger.misdirected += 1
             return [Mismatch(message.label)]
         self._streams[message.stream] = now
@@ -176,7 +179,12 @@
         replies = self._answer(message.stream, body, now)
         return [Return(message.label, encode_body(reply)) for reply in replies]
 
+    def _is_for_me(self, service: str, server: str, incarnation: int) -> bool:
+        return (service, server, incarnation) == (self.service, self.name, self.incarnation)
+
     def _answer(self, stream: int, body, now: float) -> list[BoardPiece | UploadState]:
+        if isinstance(body, Follow | UploadPiece):
+            self.ledger.foreign += body.service != self.service
         match body:
             case Follow(have=have, began_at=began_at):
                 produced = int((now - began_at) * BOARD_PIECES_PER_SECOND)
--- a/marjoramford/standins/streams.py
+++ b/marjoramford/standins/streams.py
@@ -1,6 +1,7 @@
 """What callers and backend servers say to each other inside streams.
 
 Entry VMs carry these bodies unread. The two ends number the pieces, acknowledge and repeat them.
+Callers name the service they mean, so that a server can tell what was never meant for it.
 """
 
 import hashlib
@@ -14,6 +15,7 @@
 class Follow(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """The caller has every piece of a board before `have`; the board began at `began_at`."""
 
+    service: str
     have: int
     began_at: float
 
@@ -28,6 +30,7 @@
 class UploadPiece(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """One piece of an upload of `total` pieces."""
 
+    service: str
     upload: int
     index: int
     total: int
@@ -66,6 +69,11 @@
     return digest.digest()
 
 
+def work_service(work: bytes) -> str:
+    """Returns the service that a caller meant a piece of work for."""
+    return work.split(b":", 1)[0].decode()
+
+
 def answer_body(service: str, kind: str, work: bytes) -> bytes:
     """Returns the whole answer to a request, over two pieces long for a board's seats."""
     head = f"{service}/{kind}/".encode() + work
--- a/marjoramford/standins/worlds.py
+++ b/marjoramford/standins/worlds.py
@@ -352,17 +352,22 @@
     def _watch(self, node: EntryNode) -> None:
         reachable = not self.platform_down and not self._is_cut(node.record.zone, PLATFORM)
         if reachable and not node.paused and node.balancer.is_reader():
-            core = node.balancer.node
-            platform = self.stale_platform or self.platform
-            if platform.catalogue.through > core.catalogue.through:
-                self.submit(
-                    node, CatalogueRead(*platform.read("catalogue", core.catalogue.through, 1000))
-                )
-            if platform.vms.through > core.vm_list.through:
-                self.submit(node, VmListRead(*platform.read("vms", core.vm_list.through, 1000)))
+            self._read_platform(node)
         self._note_spread()
         self._loop(node, WATCH_SECONDS, lambda: self._watch(node))
 
+    def _read_platform(self, node: EntryNode) -> None:
+        """Reads what changed, or all of an old copy while the platform is stale."""
+        stale = self.stale_platform
+        platform = stale or self.platform
+        core = node.balancer.node
+        catalogue_after = 0 if stale else core.catalogue.through
+        vms_after = 0 if stale else core.vm_list.through
+        if platform.catalogue.through > catalogue_after:
+            self.submit(node, CatalogueRead(*platform.read("catalogue", catalogue_after, 1000)))
+        if platform.vms.through > vms_after:
+            self.submit(node, VmListRead(*platform.read("vms", vms_after, 1000)))
+
     def _probe(self, node: EntryNode) -> None:
         targets = node.balancer.probe_targets()
         for number, target in enumerate(targets):
--- /dev/null
+++ b/tests/test_decision_rule.py
@@ -0,0 +1,224 @@
+"""The rule that one place decides on a request, checked over every reachable state.
+
+The model has one non-idempotent request, its coordinator A, and an entry VM B that may take over.
+It drives the real flow and request aggregates and the real hand-over states, not a copy of them.
+"""
+
+import copy
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import pytest
+
+from marjoramford.addresses import Address
+from marjoramford.errors import InvariantViolationError
+from marjoramford.handovers import FlowState, freeze_state, thaw_flow
+from marjoramford.invariants import Invariants
+from marjoramford.requests import (
+    Answered,
+    Dispatched,
+    Flow,
+    Forgotten,
+    Fresh,
+    Refused,
+    Repeated,
+    RequestRecord,
+    Unknown,
+    Waiting,
+)
+
+NUMBER = 1
+DEADLINE = 10.0
+NOW = 1.0
+STRICT = Invariants(strict=True)
+
+
+@dataclass(frozen=True)
+class Rules:
+    """What the model may break on purpose."""
+
+    others_may_decide: bool = False
+    hand_over_unfrozen: bool = False
+
+
+@dataclass
+class State:
+    """Everything that can differ between two moments."""
+
+    flows: dict[str, Flow | None]
+    alive: dict[str, bool] = field(default_factory=lambda: {"A": True, "B": True})
+    copies_left: int = 3
+    in_flight: FlowState | None = None
+    resends_left: int = 1
+    adopted: bool = False
+    ack_in_flight: bool = False
+    runs: int = 0
+    told: frozenset[str] = frozenset()
+
+    def signature(self) -> tuple:
+        flows = tuple(_flow_signature(self.flows[name]) for name in "AB")
+        alive = tuple(self.alive.values())
+        sent = self.in_flight is not None and (self.in_flight.seen, len(self.in_flight.finals))
+        rest = (self.copies_left, sent, self.resends_left, self.adopted, self.ack_in_flight)
+        return (flows, alive, rest, self.runs, self.told)
+
+
+def _flow_signature(flow: Flow | None):
+    if flow is None:
+        return None
+    record = flow.record(NUMBER)
+    state = None if record is None else (type(record.state).__name__, record.may_have_run)
+    return (flow.frozen, flow.moved, flow.seen, state)
+
+
+def successors(state: State, rules: Rules) -> Iterator[State]:
+    """Yields every state that one step leads to."""
+    if state.copies_left:
+        for name in "AB":
+            yield from _deliver(_copy(state, copies_left=state.copies_left - 1), name, rules)
+    for name in "AB":
+        if state.alive[name]:
+            yield from _work(state, name)
+            yield _changed(state, lambda new, name=name: new.alive.update({name: False}))
+    yield from _hand_over(state, rules)
+
+
+def _deliver(state: State, name: str, rules: Rules) -> Iterator[State]:
+    if not state.alive[name]:
+        yield state
+        return
+    flow = state.flows[name]
+    if flow is None and rules.others_may_decide:
+        flow = state.flows[name] = Flow("s", "s1", 100.0)
+    if flow is None or flow.moved:
+        other = "A" if name == "B" else "B"
+        if state.flows[other] is not None and state.alive[other]:
+            yield from _deliver(state, other, rules)
+        yield _copy(state, told=state.told | {"unknown"})
+        return
+    match flow.admit(NUMBER):
+        case Fresh():
+            flow.keep(_record())
+        case Repeated(record) if record.is_final:
+            state.told |= {_told(record)}
+        case Forgotten() if not flow.frozen:
+            state.told |= {"unknown"}
+    yield state
+
+
+def _work(state: State, name: str) -> Iterator[State]:
+    flow = state.flows[name]
+    record = flow.record(NUMBER) if flow else None
+    if record is None or record.is_final:
+        if record is not None:
+            yield _changed(state, lambda new: new.flows[name].forget(NUMBER))
+        return
+    yield _on_record(state, name, lambda r: r.give_up("deadline", NOW, STRICT))
+    match record.state:
+        case Waiting():
+            yield _on_record(state, name, lambda r: r.dispatch("s1", 1, NOW, STRICT))
+        case Dispatched():
+            yield _on_record(state, name, lambda r: r.not_run(NOW))
+            answered = _on_record(state, name, lambda r: r.finish(Answered(b""), STRICT))
+            yield _copy(answered, runs=state.runs + 1)
+            broken = _on_record(state, name, lambda r: r.finish(Unknown("broken"), STRICT))
+            yield broken
+            yield _copy(broken, runs=state.runs + 1)
+
+
+def _hand_over(state: State, rules: Rules) -> Iterator[State]:
+    flow = state.flows["A"]
+    if state.alive["A"] and flow is not None and state.in_flight is None and flow.idle:
+        new = copy.deepcopy(state)
+        if not rules.hand_over_unfrozen:
+            new.flows["A"].freeze()
+        new.in_flight = freeze_state(7, new.flows["A"])
+        yield new
+    if state.in_flight is not None and state.alive["B"] and state.resends_left >= 0:
+        new = _copy(state, ack_in_flight=True, resends_left=state.resends_left - 1)
+        if not state.adopted:
+            new.adopted = True
+            new.flows["B"] = thaw_flow(state.in_flight)
+        yield new
+    if state.ack_in_flight:
+        yield _copy(state, ack_in_flight=False)
+        if state.alive["A"]:
+            acknowledged = _copy(state, ack_in_flight=False)
+            acknowledged.flows["A"].confirm_move()
+            yield acknowledged
+
+
+def _record() -> RequestRecord:
+    caller = Address("c", 1)
+    return RequestRecord(7, NUMBER, "s", "hold", False, DEADLINE, b"", caller, Waiting(NOW))
+
+
+def _told(record: RequestRecord) -> str:
+    match record.state:
+        case Answered():
+            return "answered"
+        case Refused():
+            return "not run"
+        case _:
+            return "unknown"
+
+
+def _on_record(state: State, name: str, change) -> State:
+    new = copy.deepcopy(state)
+    record = new.flows[name].record(NUMBER)
+    change(record)
+    if record.is_final:
+        new.told |= {_told(record)}
+    return new
+
+
+def _changed(state: State, change) -> State:
+    new = copy.deepcopy(state)
+    change(new)
+    return new
+
+
+def _copy(state: State, **changes) -> State:
+    new = copy.deepcopy(state)
+    for name, value in changes.items():
+        setattr(new, name, value)
+    return new
+
+
+def broken_promise(state: State) -> str:
+    if state.runs > 1:
+        return "ran twice"
+    if "not run" in state.told and (state.runs or "answered" in state.told):
+        return "told 'not run' and ran"
+    return ""
+
+
+def explore(rules: Rules) -> tuple[int, str]:
+    """Visits every reachable state; returns how many, and the first broken promise."""
+    first = State({"A": Flow("s", "s1", 100.0), "B": None})
+    seen = {first.signature()}
+    todo = [first]
+    while todo:
+        state = todo.pop()
+        if broken := broken_promise(state):
+            return len(seen), broken
+        try:
+            following = list(successors(state, rules))
+        except InvariantViolationError as violation:
+            return len(seen), str(violation)
+        for new in following:
+            if new.signature() not in seen:
+                seen.add(new.signature())
+                todo.append(new)
+    return len(seen), ""
+
+
+def test_every_reachable_state_keeps_the_promises():
+    visited, broken = explore(Rules())
+    assert broken == ""
+    assert visited > 1000
+
+
+@pytest.mark.parametrize("rules", [Rules(others_may_decide=True), Rules(hand_over_unfrozen=True)])
+def test_the_check_turns_red_when_the_rule_is_broken(rules):
+    assert explore(rules)[1]
--- /dev/null
+++ b/tests/test_experiments.py
@@ -0,0 +1,127 @@
+"""Long randomised runs with invariants asserted inside the program, with fixed seeds."""
+
+import pytest
+
+from marjoramford.actions import SendToCaller
+from marjoramford.backend_servers import BackendServers
+from marjoramford.choosers import RandomChoice
+from marjoramford.coordinators import RequestCoordinator
+from marjoramford.errors import InvariantViolationError
+from marjoramford.experiments import Experiment, Plan
+from marjoramford.forwarders import Forwarder
+from marjoramford.messages import NotRun, encode
+from marjoramford.records import KindRules, RecordStore
+from marjoramford.requests import Refused, RequestRecord
+from marjoramford.standins.deployments import DEPLOYMENTS, GRIEVANCE, HERITAGE
+from marjoramford.standins.faults import PlatformStale, provoke
+from marjoramford.standins.server_models import ServerModel
+from marjoramford.standins.worlds import START, World, WorldSettings
+
+LOST_HANDOVER_REPLY_SEED = 16
+
+
+def run(deployment, seed, faults, seconds=25.0, **options):
+    return Experiment(Plan(deployment, seed, seconds, faults, **options)).run()
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_planned_changes_break_nothing(name, seed):
+    measures = run(DEPLOYMENTS[name], seed, "planned")
+    assert measures.promises_kept, measures
+    assert measures.broken_flows == {}
+    assert measures.spread_seconds <= 5.0
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+@pytest.mark.parametrize("seed", [1, 2, 3, LOST_HANDOVER_REPLY_SEED])
+def test_failures_break_no_promise(name, seed):
+    measures = run(DEPLOYMENTS[name], seed, "all", fault_interval=3.0)
+    assert measures.promises_kept, measures
+
+
+def test_a_run_is_the_same_every_time():
+    assert run(HERITAGE, 5, "all", 10.0) == run(HERITAGE, 5, "all", 10.0)
+
+
+def test_overload_refuses_truthfully_and_keeps_the_slots_busy():
+    measures = run(GRIEVANCE, 1, "none", load=2.0)
+    assert measures.promises_kept, measures
+    assert measures.delivered_share_of_slots >= 0.95
+
+
+# Each of these plants a fault and expects the fakes or the invariants to notice it.
+
+
+def test_notices_an_entry_vm_that_refuses_without_being_the_coordinator(monkeypatch):
+    relay_request = Forwarder._request
+
+    def refuse_too(self, token, request, payload, now, hops):
+        actions = relay_request(self, token, request, payload, now, hops)
+        if not self._decides_here(token):
+            refusal = NotRun(token.flow, request.number, "planted", now + 1.0)
+            actions.append(SendToCaller(token.caller, encode(refusal)))
+        return actions
+
+    monkeypatch.setattr(Forwarder, "_request", refuse_too)
+    assert run(HERITAGE, 1, "none", 5.0).false_not_run > 0
+
+
+def test_notices_a_retry_after_an_unknown_outcome(monkeypatch):
+    always = KindRules("planted", idempotent=True)
+    monkeypatch.setattr(RequestCoordinator, "_rules", lambda self, service, kind: always)
+    assert any(run(HERITAGE, seed, "unplanned", 20.0).ran_twice for seed in range(1, 6))
+
+
+def test_notices_an_older_revision_being_applied(monkeypatch):
+    def apply_anything(self, record):
+        self._by_key[record.key] = record
+        self._by_revision[record.revision] = record
+        return True
+
+    monkeypatch.setattr(RecordStore, "apply", apply_anything)
+    world = World(HERITAGE, 1, WorldSettings())
+    world.run_until(START + 2.0)
+    provoke(world, PlatformStale())
+    with pytest.raises(InvariantViolationError, match="revision never falls"):
+        world.run_until(START + 10.0)
+
+
+def test_notices_a_datagram_taken_by_another_service(monkeypatch):
+    monkeypatch.setattr(Forwarder, "_is_contradicted", lambda self, token, server: False)
+    monkeypatch.setattr(ServerModel, "_is_for_me", lambda *arguments: True)
+    assert any(run(HERITAGE, seed, "unplanned", 30.0).wrong_service for seed in range(1, 6))
+
+
+def test_notices_a_false_not_run(monkeypatch):
+    def refuse_always(self, reason, retry_at, invariants):
+        self.finish(Refused(reason, retry_at), invariants)
+
+    monkeypatch.setattr(RequestRecord, "give_up", refuse_always)
+    violation = run(HERITAGE, 1, "none", 20.0, load=3.0, request_seconds=0.4).violation
+    assert "no 'not run' while a dispatch may have run" in violation
+
+
+def test_notices_new_work_on_a_leaving_server(monkeypatch):
+    candidates = BackendServers.candidates
+
+    def leaving_too(self, service, now):
+        for server in self.of_service(service):
+            server.leaving = False
+        return candidates(self, service, now)
+
+    def submit_while_draining(self, *arguments):
+        draining, self.draining_since = self.draining_since, None
+        started = submit(self, *arguments)
+        self.draining_since = draining
+        return started
+
+    submit = ServerModel.submit
+    monkeypatch.setattr(BackendServers, "candidates", leaving_too)
+    monkeypatch.setattr(ServerModel, "submit", submit_while_draining)
+    settings = WorldSettings(policy=RandomChoice())
+    late = [
+        Experiment(Plan(HERITAGE, seed, 30.0, "planned"), settings).run().late_work
+        for seed in range(1, 4)
+    ]
+    assert any(late)
