Fewer unknown outcomes when a coordinator dies or a zone is cut off

Found: (1) idle callers sent their next request to a coordinator long dead; (2) alive news with a raised heartbeat overrode "gone" and "lost"; (3) an entry VM in a cut-off zone told callers of healthy coordinators that these were lost.

Changes: heartbeats rise only to refute; the platform's "gone" is final; a list record with incarnation 0 is about whichever incarnation is known (it was ignored by real processes); a caller that was silent renews first, and a renewal tells of a lost coordinator; an entry VM that cannot reach most others holds such answers back for 1 s; lost peers are tried in proportion.

--- a/marjoramford/admissions.py
+++ b/marjoramford/admissions.py
@@ -25,6 +25,8 @@
     def open(self, request: Open, caller: Address, hops: int, now: float) -> list[Action]:
         """Makes a flow, passes the wish on to another entry VM, or refuses it."""
         node = self._node
+        if hops == 0 and node.doubts.holds_back(request.nonce, now):
+            return []
         entry = node.catalogue.get(request.service)
         previous = self._previous(request, caller, now)
         if node.draining_until is not None:
--- a/marjoramford/balancers.py
+++ b/marjoramford/balancers.py
@@ -13,6 +13,7 @@
 from .budgets import TokenBucket
 from .choosers import POLICIES, Policy
 from .coordinators import RequestCoordinator
+from .doubts import Doubts
 from .entry_vms import EntryVm, EntryVms, rendezvous_order
 from .events import (
     CallerDatagram,
@@ -246,6 +247,7 @@
         identity.inner_address,
         identity.control_address,
     )
+    entry_vms = EntryVms(own, times.suspicion)
     return Node(
         settings=settings,
         own=own,
@@ -253,7 +255,8 @@
         random=random,
         invariants=Invariants(strict),
         policy=POLICIES[settings.load.policy],
-        entry_vms=EntryVms(own, times.suspicion),
+        entry_vms=entry_vms,
+        doubts=Doubts(entry_vms),
         limits=LimitShares(identity.name, identity.zone, times.limit_hold, times.clock_error),
         control_bytes=TokenBucket(control.bytes_per_second, control.burst_bytes, now),
     )
--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -23,7 +23,11 @@
 
 
 class MemberNews(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One entry VM as another saw it; `heartbeat` orders the news of one incarnation."""
+    """One entry VM as another saw it.
+
+    `heartbeat` orders the news of one incarnation. The entry VM itself raises it to refute a
+    suspicion; no other does.
+    """
 
     name: str
     incarnation: int
@@ -127,12 +131,21 @@
         """Returns the other entry VMs to which something may be sent."""
         return [vm for vm in self._others.values() if vm.usable]
 
+    def in_minority(self) -> bool:
+        """Tells whether most of the entry VMs that have not left cannot be reached."""
+        remaining = [vm for vm in self._others.values() if vm.state != "left"]
+        unreachable = sum(vm.state in ("suspect", "lost") for vm in remaining)
+        return 2 * unreachable > len(remaining)
+
     def apply_record(self, record: VmRecord) -> None:
-        """Takes an entry VM's record from the platform's list."""
+        """Takes an entry VM's record from the platform's list.
+
+        A record with incarnation 0 is about whichever incarnation is known.
+        """
         if record.role != "entry" or record.name == self.own.name:
             return
         held = self._others.get(record.name)
-        if held is not None and record.incarnation < held.incarnation:
+        if held is not None and 0 < record.incarnation < held.incarnation:
             return
         if held is None or record.incarnation > held.incarnation:
             held = EntryVm(
@@ -143,8 +156,8 @@
                 Address(record.host, record.http_port),
             )
             self._others[record.name] = held
-        if record.state == "gone" and held.state != "left":
-            self._set_state(held, "lost")
+        if record.state == "gone":
+            self._set_state(held, "left")
         elif record.state == "leaving" and held.usable:
             self._set_state(held, "leaving")
 
--- a/marjoramford/experiments.py
+++ b/marjoramford/experiments.py
@@ -146,16 +146,22 @@
 
     def _offer(self, traffic: Traffic, rate: float) -> None:
         world = self.world
+        idempotent = self._is_idempotent(traffic)
 
         def offer_one() -> None:
             if world.now >= self._end:
                 return
             session = world.random.choice(self._sessions[traffic.kind])
-            session.request(traffic.kind, world.now + self._plan.request_seconds, world.now)
+            deadline = world.now + self._plan.request_seconds
+            session.request(traffic.kind, deadline, world.now, idempotent)
             world.after(world.random.expovariate(rate), offer_one)
 
         world.after(world.random.expovariate(rate), offer_one)
 
+    def _is_idempotent(self, traffic: Traffic) -> bool:
+        rules = self._plan.deployment.service(traffic.service).kinds
+        return any(rule.name == traffic.kind and rule.idempotent for rule in rules)
+
     def _schedule_faults(self) -> None:
         faults = FAULT_SETS[self._plan.faults]
         if not faults:
@@ -233,8 +239,7 @@
         measures.foreign += session.foreign
         measures.reopened.update(session.reopened)
         kind = measures.kinds.setdefault(traffic.kind, KindMeasure())
-        rules = self._plan.deployment.service(traffic.service).kinds
-        idempotent = any(rule.name == traffic.kind and rule.idempotent for rule in rules)
+        idempotent = self._is_idempotent(traffic)
         for outcome in session.outcomes:
             runs = self.world.ledger.started[outcome.work]
             kind.offered += 1
--- a/marjoramford/forwarders.py
+++ b/marjoramford/forwarders.py
@@ -198,8 +198,7 @@
             case Elsewhere():
                 return self._drop(LogEvent.DATAGRAM_DROPPED, token.caller, "too many hops")
             case Here() | Lost():
-                self._node.counters["coordinators_lost"] += 1
-                return [SendToCaller(token.caller, encode(CoordinatorLost(token.flow)))]
+                return self._tell_lost(token, now)
 
     def _decides_here(self, token: Token) -> bool:
         """Tells whether the flow is coordinated here, from its open or by a hand-over.
@@ -221,6 +220,12 @@
             return Elsewhere(successor.peer_address)
         return self._node.entry_vms.locate(token.coordinator, token.peer_address)
 
+    def _tell_lost(self, token: Token, now: float) -> list[Action]:
+        if self._node.doubts.holds_back(token.flow, now):
+            return []
+        self._node.counters["coordinators_lost"] += 1
+        return [SendToCaller(token.caller, encode(CoordinatorLost(token.flow)))]
+
     def _name_new_coordinator(self, token: Token, now: float) -> list[Action]:
         if token.coordinator == self._node.coordinator:
             return []
@@ -238,6 +243,8 @@
         return SendToCaller(token.caller, encode(Renewed(token.flow, sealed, expires_at)))
 
     def _renew(self, token: Token, payload: bytes, now: float, hops: int) -> list[Action]:
+        if isinstance(self._locate(token), Lost):
+            return self._tell_lost(token, now)
         expires_at = now + self._node.settings.times.token_lifetime
         self._node.flows.renew(token.flow, expires_at)
         actions = self._tell_coordinator(token, payload, hops)
--- a/marjoramford/gossips.py
+++ b/marjoramford/gossips.py
@@ -22,7 +22,7 @@
 URGENT_INTERVAL_SECONDS = 0.2
 WANT_INTERVAL_SECONDS = 1.0
 SAME_ZONE_SHARE = 0.7
-LOST_PEER_SHARE = 0.1
+MAX_LOST_PEER_SHARE = 0.5
 NEWS_TRANSMISSIONS = 4
 FAREWELL_PEERS = 16
 MAX_LEASES = 32
@@ -93,7 +93,6 @@
         if now >= self._next_round_at:
             interval = node.settings.times.gossip_interval
             self._next_round_at = now + interval * node.random.uniform(0.8, 1.2)
-            node.own.heartbeat += 1
             actions += self._round(now)
         return actions
 
@@ -165,9 +164,10 @@
     def _draw_peer(self) -> EntryVm | None:
         random = self._node.random
         lost = [vm for vm in self._node.entry_vms.others() if vm.state == "lost"]
-        if lost and random.random() < LOST_PEER_SHARE:
-            return random.choice(lost)
         peers = self._node.entry_vms.reachable()
+        lost_share = len(lost) / max(1, len(lost) + len(peers))
+        if lost and random.random() < min(lost_share, MAX_LOST_PEER_SHARE):
+            return random.choice(lost)
         near = [vm for vm in peers if vm.zone == self._node.own.zone]
         if near and random.random() < SAME_ZONE_SHARE:
             return random.choice(near)
--- a/marjoramford/nodes.py
+++ b/marjoramford/nodes.py
@@ -7,6 +7,7 @@
 from .backend_servers import BackendServers
 from .budgets import TokenBucket
 from .choosers import Policy
+from .doubts import Doubts
 from .entry_vms import EntryVm, EntryVms
 from .flows import FlowTable
 from .invariants import Invariants
@@ -23,6 +24,7 @@
 
     Attributes:
         policy: chooses backend servers for requests.
+        doubts: what is left to other entry VMs while most of them cannot be reached.
         draining_until: when a planned stop must be finished, in epoch seconds; None if none.
         successor: the entry VM that takes over the flows at a planned stop.
         adopted_from: leaving coordinators whose flows this one took over.
@@ -36,6 +38,7 @@
     invariants: Invariants
     policy: Policy
     entry_vms: EntryVms
+    doubts: Doubts
     limits: LimitShares
     control_bytes: TokenBucket
     catalogue: RecordStore[CatalogueEntry] = field(default_factory=RecordStore)
--- a/marjoramford/standins/caller_sessions.py
+++ b/marjoramford/standins/caller_sessions.py
@@ -45,6 +45,7 @@
 STREAM_SECONDS = 0.2
 BROKEN_AFTER_SECONDS = 6.0
 REOPEN_AFTER_SECONDS = 2.0
+IDLE_SECONDS = 2.0
 RENEW_SHARE = 0.5
 
 Result = Literal["whole", "not_run", "unknown"]
@@ -58,6 +59,8 @@
     kind: str
     deadline: float
     sent_at: float
+    idempotent: bool = False
+    asked_before: bool = False
     datagram: bytes = b""
     resend_at: float = 0.0
     pieces: dict[int, bytes] = field(default_factory=dict)
@@ -99,6 +102,9 @@
 class CallerSession:
     """One flow of one caller, with its requests and at most one stream.
 
+    After a silence it renews its token before it sends a request: if the coordinator was lost
+    meanwhile, the flow is reopened and the request goes to the new one.
+
     Attributes:
         outcomes: requests that ended.
         foreign: answers or pieces that were not this caller's own.
@@ -120,6 +126,8 @@
         self._flow = 0
         self._stream = 0
         self._renew_at = float("inf")
+        self._renewed_at = 0.0
+        self._confirmed_at = 0.0
         self._nonce = random.getrandbits(32)
         self._open_at = 0.0
         self._stalled_again_at = 0.0
@@ -139,11 +147,14 @@
         """How many requests have no outcome yet."""
         return len(self._pending) + len(self._unsent)
 
-    def request(self, kind: str, deadline: float, now: float) -> bytes:
-        """Asks for one piece of work and returns its identifier."""
+    def request(self, kind: str, deadline: float, now: float, idempotent: bool = False) -> bytes:
+        """Asks for one piece of work and returns its identifier.
+
+        One that is idempotent is asked for again when its coordinator is lost.
+        """
         self._works += 1
         work = f"{self.service}:{self.name}-{self._works}".encode()
-        self._unsent.append(Pending(work, kind, deadline, now))
+        self._unsent.append(Pending(work, kind, deadline, now, idempotent))
         return work
 
     def follow_board(self, now: float) -> None:
@@ -175,15 +186,18 @@
         if not self.token:
             return self._poll_open(now)
         datagrams = []
-        for pending in self._unsent:
-            datagrams.append(self._first_send(pending, now))
-        self._unsent.clear()
+        if self._unsent and now - self._confirmed_at > IDLE_SECONDS:
+            self._renew_at = min(self._renew_at, max(now, self._renewed_at + RESEND_SECONDS))
+        else:
+            datagrams += [self._first_send(pending, now) for pending in self._unsent]
+            self._unsent.clear()
         for pending in self._pending.values():
             if pending.resend_at <= now:
                 pending.resend_at = now + RESEND_SECONDS
                 datagrams.append(pending.datagram)
         if self._renew_at <= now:
             self._renew_at = now + RESEND_SECONDS
+            self._renewed_at = now
             datagrams.append(encode(Renew(self.token)))
         if self._stream_at <= now:
             self._stream_at = now + STREAM_SECONDS
@@ -258,6 +272,7 @@
     def _use_token(self, token: bytes, expires_at: float, now: float) -> None:
         self.token = token
         self._previous = token
+        self._confirmed_at = now
         self._renew_at = now + (expires_at - now) * RENEW_SHARE
 
     def _start_stream_again(self, now: float) -> None:
@@ -272,8 +287,14 @@
         """Opens the flow again; requests without an outcome belong to the old coordinator."""
         if not self.token:
             return
-        for number in list(self._pending):
-            self._end(self._flow, number, "unknown", cause, now)
+        for number, pending in list(self._pending.items()):
+            if pending.idempotent:
+                del self._pending[number]
+                pending.pieces.clear()
+                pending.asked_before = True
+                self._unsent.append(pending)
+            else:
+                self._end(self._flow, number, "unknown", cause, now)
         if cause == "server lost" and self.upload is not None and not self.upload.whole:
             self.upload.have = 0
             self.upload.restarts += 1
@@ -362,8 +383,11 @@
     def _end(self, flow: int, number: int, result: Result, reason: str, now: float) -> None:
         if flow != self._flow:
             return
+        self._confirmed_at = now
         pending = self._pending.pop(number, None)
         if pending is not None:
+            if pending.asked_before and result == "not_run":
+                result = "unknown"
             seconds = now - pending.sent_at
             self.outcomes.append(Outcome(pending.work, pending.kind, result, reason, seconds))
 
@@ -374,6 +398,7 @@
         for pending in [p for p in self._unsent if p.deadline <= now]:
             self._unsent.remove(pending)
             seconds = now - pending.sent_at
-            reason = "never sent"
-            outcome = Outcome(pending.work, pending.kind, "not_run", reason, seconds)
-            self.outcomes.append(outcome)
+            asked = pending.asked_before
+            result: Result = "unknown" if asked else "not_run"
+            reason = "sent to a lost coordinator" if asked else "never sent"
+            self.outcomes.append(Outcome(pending.work, pending.kind, result, reason, seconds))
