--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -107,7 +107,8 @@
         self.own_when_reported = self.in_progress
         if report.draining:
             self.start_leaving("load report")
-        self._judge(agrees=report.busy >= self.in_progress)
+        if self.in_progress:
+            self._judge(agrees=report.busy >= self.in_progress)
 
     def take_answer(self) -> None:
         """Notes a request that it answered."""
--- a/marjoramford/settings.py
+++ b/marjoramford/settings.py
@@ -144,10 +144,12 @@
 
 def _settings_error(path: str, detail) -> StepError:
     where = ".".join(str(part) for part in detail["loc"]) or "file"
-    shown = "" if detail["type"] == "missing" or "secret" in where else f" (got {_short(detail)})"
-    return StepError(Step.READ_SETTINGS, path, f"{where}: {detail['msg']}{shown}")
+    value = detail["input"]
+    shown = where.split(".")[0] != "keys" and isinstance(value, str | int | float)
+    given = f" (got {_short(value)})" if shown else ""
+    return StepError(Step.READ_SETTINGS, path, f"{where}: {detail['msg']}{given}")
 
 
-def _short(detail) -> str:
-    text = repr(detail["input"])
+def _short(value: str | int | float) -> str:
+    text = repr(value)
     return text if len(text) <= 60 else f"{text[:57]}..."
--- /dev/null
+++ b/tests/test_borders.py
@@ -0,0 +1,160 @@
+"""Every border refuses malformed, oversized, forged, expired and foreign input, and goes on."""
+
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marjoramford.addresses import Address
+from marjoramford.balancers import Balancer, Identity
+from marjoramford.events import (
+    CallerDatagram,
+    CatalogueRead,
+    GossipReceived,
+    GossipReplied,
+    HandoverReceived,
+    HandoverReplied,
+    InnerDatagram,
+    VmListRead,
+)
+from marjoramford.keys import KeyRing, Purpose
+from marjoramford.messages import (
+    MAX_DATAGRAM_BYTES,
+    Open,
+    Opened,
+    Renew,
+    Request,
+    Return,
+    Send,
+    TokenRefused,
+    decode_from_entry_vm,
+    encode,
+)
+from marjoramford.records import VmRecord
+from marjoramford.settings import CoreSettings
+from marjoramford.standins.deployments import HERITAGE
+from marjoramford.tokens import verify_token
+
+NOW = 1000.0
+CALLER = Address("10.0.0.9", 5)
+KEYS = KeyRing({1: b"k" * 16}, 1)
+MANY = settings(max_examples=1500)
+
+
+def make_balancer() -> Balancer:
+    inner, control = Address("10.0.0.1", 2), Address("10.0.0.1", 3)
+    identity = Identity("entry-1", 1, "tunis-ville", inner, control)
+    balancer = Balancer(identity, CoreSettings(), KEYS, Random(1), NOW, strict=True)
+    entry = HERITAGE.services[0].entry("owner", 1, 1)
+    vms = [
+        VmRecord("entry-1", 1, 1, "entry", "tunis-ville", "10.0.0.1", 1, 3, 2),
+        VmRecord("booking-1", 2, 1, "server", "tunis-ville", "10.0.0.2", 1, 3, service="booking"),
+    ]
+    balancer.handle(CatalogueRead((msgspec.json.encode(entry),), 1), NOW)
+    balancer.handle(VmListRead(tuple(map(msgspec.json.encode, vms)), 2), NOW)
+    return balancer
+
+
+BALANCER = make_balancer()
+
+
+def open_flow(balancer: Balancer) -> Opened:
+    event = CallerDatagram(CALLER, encode(Open("booking", 7)))
+    (action,) = balancer.handle(event, NOW)
+    return decode_from_entry_vm(action.payload).unwrap()
+
+
+def state_of(balancer: Balancer) -> tuple:
+    node = balancer.node
+    return (len(node.flows), node.catalogue.through, node.vm_list.through, len(node.entry_vms))
+
+
+@MANY
+@given(payload=st.binary(max_size=200), kind=st.integers(0, 6))
+def test_arbitrary_bytes_change_nothing_at_any_border(payload, kind):
+    events = [
+        CallerDatagram(CALLER, payload),
+        InnerDatagram(CALLER, payload),
+        GossipReceived(payload),
+        GossipReplied("entry-9", payload),
+        HandoverReceived(payload),
+        HandoverReplied(1, payload),
+        CatalogueRead((payload,), 1),
+    ]
+    before = state_of(BALANCER)
+    BALANCER.handle(events[kind], NOW)
+    assert state_of(BALANCER) == before
+
+
+@MANY
+@given(data=st.data())
+def test_a_token_changed_anywhere_is_refused(data):
+    balancer = BALANCER
+    token = bytearray(open_flow(balancer).token)
+    position = data.draw(st.integers(0, len(token) - 1))
+    token[position] ^= data.draw(st.integers(1, 255))
+    event = CallerDatagram(CALLER, encode(Send(bytes(token), b"x")))
+    assert balancer.handle(event, NOW) == []
+
+
+def test_a_token_seen_at_another_caller_is_refused():
+    token = open_flow(BALANCER).token
+    event = CallerDatagram(Address("10.0.0.10", 5), encode(Send(token, b"x")))
+    assert BALANCER.handle(event, NOW) == []
+
+
+def test_an_expired_token_is_refused_with_a_clear_error():
+    opened = open_flow(BALANCER)
+    event = CallerDatagram(CALLER, encode(Renew(opened.token)))
+    (action,) = BALANCER.handle(event, opened.expires_at + 1.0)
+    assert isinstance(decode_from_entry_vm(action.payload).unwrap(), TokenRefused)
+
+
+def test_a_seal_for_one_purpose_is_none_for_another():
+    token = open_flow(BALANCER).token
+    event = InnerDatagram(CALLER, encode(Return(token, b"x")))
+    assert BALANCER.handle(event, NOW) == []
+    assert KEYS.open(token, Purpose.PEER).is_err()
+
+
+def test_an_oversized_datagram_is_dropped_and_counted():
+    before = BALANCER.node.counters["datagram_dropped"]
+    event = CallerDatagram(CALLER, encode(Send(b"", bytes(MAX_DATAGRAM_BYTES))))
+    assert BALANCER.handle(event, NOW) == []
+    assert BALANCER.node.counters["datagram_dropped"] == before + 1
+
+
+def test_a_request_too_late_or_too_long_is_refused_as_not_run():
+    opened = open_flow(BALANCER)
+    for number, deadline, body in ((1, NOW - 1.0, b""), (2, NOW + 5.0, bytes(1100))):
+        request = Request(opened.token, number, "hold", deadline, body)
+        (action,) = BALANCER.handle(CallerDatagram(CALLER, encode(request)), NOW)
+        assert type(decode_from_entry_vm(action.payload).unwrap()).__name__ == "NotRun"
+
+
+def test_key_rotation_keeps_tokens_of_the_previous_key():
+    token = open_flow(BALANCER).token
+    rotated = KeyRing({1: b"k" * 16, 2: b"n" * 16}, 2)
+    assert verify_token(token, rotated).is_ok()
+    assert verify_token(token, KeyRing({2: b"n" * 16}, 2)).is_err()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b'{"name":"booking","revision":5}',
+        b'{"name":"../x","revision":5,"added_at_revision":1,"owner":"o",'
+        b'"service_class":"critical","max_connections":1,"max_load":1}',
+        b'{"name":"booking","revision":5,"added_at_revision":1,"owner":"o",'
+        b'"service_class":"gold","max_connections":1,"max_load":1}',
+    ],
+)
+def test_an_invalid_entry_is_rejected_alone(raw):
+    balancer = make_balancer()
+    good = HERITAGE.services[1].entry("owner", 4, 4)
+    balancer.handle(CatalogueRead((raw, msgspec.json.encode(good)), 5), NOW)
+    assert balancer.node.catalogue.get("booking").revision == 1
+    assert balancer.node.catalogue.get("manifest").revision == 4
+    assert balancer.node.counters["records_rejected"] == 1
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,83 @@
+"""Shares of limits add up to no more than the limit, whatever each entry VM has seen."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramford.limits import LimitShares, Resource, Want, split
+
+HOLD = 10.0
+NOW = 1000.0
+FLEET = {"z1": ("a", "b"), "z2": ("c", "d", "e")}
+names = st.lists(st.text("abcdef", min_size=1, max_size=3), min_size=1, max_size=9, unique=True)
+
+
+@given(total=st.integers(0, 1000), members=names, key=st.text(max_size=5))
+def test_parts_add_up_to_the_total(total, members, key):
+    parts = [split(total, key, members, member) for member in members]
+    assert sum(parts) == total
+    assert max(parts) - min(parts) <= 1
+
+
+def shares_of(fleet, now=NOW) -> dict[str, LimitShares]:
+    shares = {}
+    for zone, members in fleet.items():
+        for name in members:
+            shares[name] = LimitShares(name, zone, HOLD, 0.5)
+            shares[name].set_fleet(fleet, True, now)
+    return shares
+
+
+@given(
+    limit=st.integers(0, 60),
+    seen=st.sets(st.sampled_from("abcde")),
+    joined_zone=st.sampled_from(["z1", "z2"]),
+    wait=st.floats(0, 30),
+)
+def test_a_join_seen_by_some_exceeds_nothing(limit, seen, joined_zone, wait):
+    """Entry VMs that have not seen a join are within the hold time of those that have."""
+    shares = shares_of(FLEET)
+    wider = {
+        zone: (*members, "f") if zone == joined_zone else members for zone, members in FLEET.items()
+    }
+    newcomer = LimitShares("f", joined_zone, HOLD, 0.5)
+    newcomer.set_fleet(wider, False, NOW)
+    for name in seen:
+        shares[name].set_fleet(wider, False, NOW)
+    later = NOW + wait
+    if wait >= HOLD:
+        for name in set("abcde") - seen:
+            shares[name].set_fleet(wider, False, NOW + HOLD - 0.1)
+    total = sum(
+        each.available("s", Resource.LOAD, limit, later) for each in (*shares.values(), newcomer)
+    )
+    assert total <= limit
+
+
+loans = st.lists(
+    st.tuples(
+        st.sampled_from("abcde"),
+        st.sampled_from("abcde"),
+        st.integers(1, 20),
+        st.booleans(),
+        st.floats(0, 3),
+    ),
+    max_size=20,
+)
+
+
+@given(limit=st.integers(0, 60), loans=loans)
+def test_loans_exceed_nothing_even_when_replies_are_lost(limit, loans):
+    shares = shares_of(FLEET)
+    now = NOW
+    for lender, borrower, amount, reply_lost, pause in loans:
+        want = Want("s", Resource.LOAD, amount)
+        lease = shares[lender].lend(want, limit, 0, now + 2.0, now)
+        if not reply_lost and lender != borrower:
+            shares[borrower].borrow(lease, now)
+        now += pause
+        total = sum(each.available("s", Resource.LOAD, limit, now) for each in shares.values())
+        assert total <= limit
+
+
+def test_before_any_list_is_known_the_share_is_nothing():
+    assert LimitShares("a", "z1", HOLD, 0.5).available("s", Resource.LOAD, 100, NOW) == 0
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,44 @@
+"""Pages that name every event, setting and command are held together with the code."""
+
+import re
+from pathlib import Path
+
+from pydantic import BaseModel
+
+from marjoramford.commands import Commands
+from marjoramford.logs import LogEvent
+from marjoramford.settings import EntryVmSettings
+
+DOCS = Path(__file__).parent.parent / "docs"
+
+
+def test_every_event_is_in_the_catalogue_and_no_other():
+    rows = re.findall(r"^\| (\d+) \| `([a-z ]+)` \|", (DOCS / "events.md").read_text(), re.M)
+    listed = {int(number): name for number, name in rows}
+    assert listed == {int(event): event.name.lower().replace("_", " ") for event in LogEvent}
+
+
+def keys_and_defaults(model: type[BaseModel], prefix: str = ""):
+    for name, field in model.model_fields.items():
+        kind = field.annotation
+        if isinstance(kind, type) and issubclass(kind, BaseModel):
+            yield from keys_and_defaults(kind, f"{prefix}{name}.")
+        else:
+            default = "required" if field.is_required() else str(field.default)
+            yield f"{prefix}{name}", default
+
+
+def test_every_setting_is_on_its_page_with_its_default():
+    page = (DOCS / "settings.md").read_text()
+    listed = dict(re.findall(r"^\| `([a-z_.]+)` \| `?([^|`]+)`? \|", page, re.M))
+    assert listed == dict(keys_and_defaults(EntryVmSettings))
+
+
+def test_every_command_is_on_its_page():
+    page = (DOCS / "command-line.md").read_text()
+    commands = [name for name in dir(Commands) if not name.startswith("_")]
+    standins = [name for name in dir(Commands().standin) if not name.startswith("_")]
+    for name in commands:
+        assert f"marjoramford {name}" in page, name
+    for name in standins:
+        assert f"marjoramford standin {name}" in page, name
