--- a/marjoramford/commands.py
+++ b/marjoramford/commands.py
@@ -9,11 +9,13 @@
 import time
 import urllib.error
 import urllib.request
+from pathlib import Path
 
 import msgspec
 from result import Err, Ok
 
 from .addresses import Address
+from .benches import Bench, compare
 from .daemons import EntryVmDaemon
 from .deferrals import deferred
 from .experiments import Experiment, Plan
@@ -164,6 +166,24 @@
         if broken:
             _fail(f"a promise was broken with seeds {broken}")
 
+    @deferred
+    def bench(self, quick: bool = False, against: str = "", output: str = "") -> None:
+        """Measures speed, memory and control cost, and prints the results as JSON.
+
+        Args:
+            quick: fewer rounds and smaller sizes, under a minute.
+            against: file of an earlier run to compare with.
+            output: file to write the results to.
+        """
+        configure_logging("plain", "error")
+        report = Bench(quick).run()
+        text = msgspec.json.format(msgspec.json.encode(report)).decode()
+        print(text)
+        if output:
+            Path(output).write_text(text + "\n", encoding="utf-8")
+        if against:
+            print(json.dumps({"ratio to earlier": compare(report, Path(against))}, indent=2))
+
 
 async def _run_entry_vm(settings: EntryVmSettings) -> None:
     daemon = EntryVmDaemon(settings)
