Decisions no longer grow with servers and entry VMs

Cause: an open or a request looked at every server of its service; an open counted unreachable entry VMs; each VM list change rebuilt the whole fleet view. Now: of more than 16 servers, 16 are drawn; the minority test and the fit of a token to the server list are remembered until something changes.

--- a/marjoramford/admissions.py
+++ b/marjoramford/admissions.py
@@ -66,11 +66,11 @@
             same = kept is not None and kept.incarnation == previous.server_incarnation
             if same and kept.takes_work and kept.ejected_until <= now:
                 return kept
-        servers = node.servers.candidates(entry.name, now)
+        servers = node.servers.draw(entry.name, node.random, now)
         if not servers:
             return None
-        drawn = node.random.sample(servers, len(servers))
-        return min(drawn, key=lambda server: node.flows.flows_on(server.name))
+        node.random.shuffle(servers)
+        return min(servers, key=lambda server: node.flows.flows_on(server.name))
 
     def _make(
         self,
--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from random import Random
 
 from .addresses import Address
 from .events import LoadReported
@@ -27,6 +28,7 @@
 DEFAULT_WORK_SECONDS = 0.1
 LONG_WORK_DEVIATIONS = 3.0
 MAX_SHED_DOUBLINGS = 4
+MAX_CANDIDATES = 16
 
 
 @dataclass(slots=True)
@@ -151,9 +153,16 @@
     def __init__(self) -> None:
         self._by_name: dict[str, BackendServer] = {}
         self._by_service: defaultdict[str, dict[str, BackendServer]] = defaultdict(dict)
+        self._version = 0
+        self._lists: dict[str, list[BackendServer]] = {}
         self._by_address: dict[Address, BackendServer] = {}
         self._work_times: defaultdict[str, WorkTime] = defaultdict(WorkTime)
 
+    @property
+    def version(self) -> int:
+        """Rises whenever a server appears, changes or goes."""
+        return self._version
+
     def at(self, address: Address) -> BackendServer | None:
         """Returns the server listed last at a data address."""
         return self._by_address.get(address)
@@ -185,7 +194,14 @@
             held = self._replace(held, record)
         if record.state != "live":
             held.start_leaving("VM list")
-        held.gone = held.gone or record.state == "gone"
+        if record.state == "gone":
+            held.gone = True
+        self._version += 1
+
+    def note_gone(self, server: BackendServer) -> None:
+        """Notes that an incarnation is no longer at its address."""
+        server.gone = True
+        self._version += 1
 
     def eject_if_bad(self, server: BackendServer, now: float) -> None:
         """Ejects a server after repeated failures, unless too many of its service are out."""
@@ -201,13 +217,28 @@
 
     def candidates(self, service: str, now: float) -> list[BackendServer]:
         """Returns the servers that may get new work; all that take work if every one is bad."""
-        pool = [server for server in self.of_service(service) if server.takes_work]
-        good = [server for server in pool if server.ejected_until <= now]
-        return good or pool
+        return _good_or_all(self.of_service(service), now)
+
+    def draw(self, service: str, random: Random, now: float) -> list[BackendServer]:
+        """Returns candidates for one decision: of many servers, a few drawn at random."""
+        servers = self._listed(service)
+        if len(servers) <= MAX_CANDIDATES:
+            return _good_or_all(servers, now)
+        drawn = _good_or_all(random.sample(servers, MAX_CANDIDATES), now)
+        return drawn or self.candidates(service, now)
+
+    def _listed(self, service: str) -> list[BackendServer]:
+        listed = self._lists.get(service)
+        if listed is None:
+            listed = list(self.of_service(service))
+            self._lists[service] = listed
+        return listed
 
     def _replace(self, held: BackendServer | None, record: VmRecord) -> BackendServer:
+        self._lists.pop(record.service, None)
         if held is not None:
             held.gone = True
+            self._lists.pop(held.service, None)
             self._by_service[held.service].pop(held.name, None)
         slots = record.slots or DEFAULT_SLOTS
         server = BackendServer(
@@ -225,3 +256,9 @@
         self._by_address[server.data_address] = server
         self._by_service[record.service][record.name] = server
         return server
+
+
+def _good_or_all(servers: Iterable[BackendServer], now: float) -> list[BackendServer]:
+    pool = [server for server in servers if server.takes_work]
+    good = [server for server in pool if server.ejected_until <= now]
+    return good or pool
--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -282,7 +282,7 @@
         sticky = node.servers.get(record.sticky_server) if record.sticky_server else None
         if sticky is not None and sticky.takes_work and sticky.ejected_until <= now:
             return sticky if sticky.is_open(now) else None
-        candidates = node.servers.candidates(record.service, now)
+        candidates = node.servers.draw(record.service, node.random, now)
         servers = [server for server in candidates if server.is_open(now)]
         if not servers:
             return None
@@ -304,7 +304,7 @@
             case ProvedNotRun(draining=True):
                 server.start_leaving("refusal")
             case ProvedNotRun(mismatch=True):
-                server.gone = True
+                servers.note_gone(server)
             case ProvedNotRun(unreachable=True):
                 server.take_failure()
                 server.closed_until = now + UNREACHABLE_BACKOFF_SECONDS
--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -111,6 +111,7 @@
         self.own = own
         self._suspicion_seconds = suspicion_seconds
         self._others: dict[str, EntryVm] = {}
+        self._in_minority: bool | None = None
 
     def __len__(self) -> int:
         return len(self._others)
@@ -133,9 +134,11 @@
 
     def in_minority(self) -> bool:
         """Tells whether most of the entry VMs that have not left cannot be reached."""
-        remaining = [vm for vm in self._others.values() if vm.state != "left"]
-        unreachable = sum(vm.state in ("suspect", "lost") for vm in remaining)
-        return 2 * unreachable > len(remaining)
+        if self._in_minority is None:
+            remaining = [vm for vm in self._others.values() if vm.state != "left"]
+            unreachable = sum(vm.state in ("suspect", "lost") for vm in remaining)
+            self._in_minority = 2 * unreachable > len(remaining)
+        return self._in_minority
 
     def apply_record(self, record: VmRecord) -> None:
         """Takes an entry VM's record from the platform's list.
@@ -156,6 +159,7 @@
                 Address(record.host, record.http_port),
             )
             self._others[record.name] = held
+            self._in_minority = None
         if record.state == "gone":
             self._set_state(held, "left")
         elif record.state == "leaving" and held.usable:
@@ -174,6 +178,7 @@
                 news.name, news.incarnation, news.zone, news.peer_address, news.control_address
             )
             self._others[news.name] = held
+            self._in_minority = None
         held.heartbeat = news.heartbeat
         held.successor = news.successor or held.successor
         if news.state != "suspect" or held.state == "alive":
@@ -251,6 +256,7 @@
             own.transmissions = 0
 
     def _set_state(self, vm: EntryVm, state: MemberState) -> None:
+        self._in_minority = None
         if vm.state != state:
             vm.state = state
             vm.transmissions = 0
--- a/marjoramford/forwarders.py
+++ b/marjoramford/forwarders.py
@@ -45,10 +45,15 @@
 _FIRST_ARRAY_BYTE = 0x90
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Verified:
+    """A token that was verified, and how it fitted what was known of servers at `version`."""
+
     token: Token
     label: bytes
+    version: int = -1
+    contradicted: bool = False
+    server: BackendServer | None = None
 
 
 class Forwarder:
@@ -110,7 +115,7 @@
         self._node.counters["mismatches"] += 1
         server = self._node.servers.get(label.server)
         if server is not None and server.incarnation == label.server_incarnation:
-            server.gone = True
+            self._node.servers.note_gone(server)
 
     def _with_token(
         self, caller: Address, message, payload: bytes, now: float, hops: int
@@ -154,12 +159,17 @@
 
     def _forward(self, verified: _Verified, body: bytes) -> list[Action]:
         token = verified.token
-        server = self._node.servers.get(token.server)
-        actions: list[Action] = []
-        if self._is_contradicted(token, server):
+        servers = self._node.servers
+        if verified.version != servers.version:
+            verified.version = servers.version
+            verified.server = servers.get(token.server)
+            verified.contradicted = self._is_contradicted(token, verified.server)
+        if verified.contradicted:
             self._node.counters["server_lost"] += 1
             reply = ServerLost(token.stream, "backend server is gone")
             return [SendToCaller(token.caller, encode(reply))]
+        server = verified.server
+        actions: list[Action] = []
         if server is not None and server.leaving:
             leaving = ServerLeaving(token.stream)
             actions.append(SendToCaller(token.caller, encode(leaving)))
--- a/marjoramford/publications.py
+++ b/marjoramford/publications.py
@@ -18,6 +18,7 @@
 
     def __init__(self, node: Node):
         self._node = node
+        self._zones: dict[str, set[str]] = {}
         self._has_fleet = False
 
     def take_catalogue(self, raws: Iterable[bytes], through: int) -> None:
@@ -32,14 +33,16 @@
 
     def take_vms(self, raws: Iterable[bytes], through: int, now: float) -> None:
         """Applies VM records given as JSON; an invalid one is rejected alone."""
+        changed = False
         for raw in raws:
             match decode_record(raw, VmRecord):
                 case Ok(record):
-                    self._apply_vm(record)
+                    changed = self._apply_vm(record) or changed
                 case Err(reason):
                     self._reject(reason)
         self._node.vm_list.advance(through)
-        self._update_fleet(now)
+        if changed:
+            self._update_fleet(now)
 
     def _apply_entry(self, entry: CatalogueEntry) -> None:
         held = self._node.catalogue.get(entry.name)
@@ -52,17 +55,21 @@
         risen = newest is not None and newest.revision >= before
         self._node.invariants.check(risen, Invariant.REVISION_RISES, entry.name)
 
-    def _apply_vm(self, record: VmRecord) -> None:
+    def _apply_vm(self, record: VmRecord) -> bool:
+        """Applies a record; tells whether the entry VMs that share limits changed."""
         if not self._node.vm_list.apply(record):
-            return
+            return False
         self._node.servers.apply_record(record)
         self._node.entry_vms.apply_record(record)
+        if record.role != "entry":
+            return False
+        names = self._zones.setdefault(record.zone, set())
+        before = record.name in names
+        (names.add if record.state == "live" else names.discard)(record.name)
+        return before != (record.name in names)
 
     def _update_fleet(self, now: float) -> None:
-        zones: dict[str, list[str]] = {}
-        for record in self._node.vm_list.values():
-            if record.role == "entry" and record.state == "live":
-                zones.setdefault(record.zone, []).append(record.name)
+        zones = {zone: names for zone, names in self._zones.items() if names}
         if not zones:
             return
         own = self._node.vm_list.get(self._node.own.name)
