--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,6 +1,8 @@
 """Pages that name every event, setting and command are held together with the code."""
 
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 from pydantic import BaseModel
@@ -42,3 +44,9 @@
         assert f"marjoramford {name}" in page, name
     for name in standins:
         assert f"marjoramford standin {name}" in page, name
+
+
+def test_the_capacity_table_is_what_the_bench_gave():
+    command = [sys.executable, str(DOCS.parent / "tools" / "capacity.py"), "--check"]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert result.returncode == 0, result.stderr
