Load reports are compared with what was ours when they were measured

Cause: a late report was set against this entry VM's own requests of now. So honest, late reports were taken for lies, trust fell, and the estimate ignored them. Also: before anything had ended, work was taken to last 0.1 s, which discounted every report at once, and the mean began with the shortest work. Ruled out: the draw of candidates (no service here has more than 16 servers).

Now: own requests are remembered over time and looked up at the report's moment; reports keep their use while nothing has ended; the mean of the first ten is plain; a shed contradicts only a report that is younger than the work.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -1,9 +1,9 @@
 """Backend servers as one entry VM sees them: published records, reports and its own evidence."""
 
 import logging
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from .addresses import Address
@@ -29,6 +29,11 @@
 LONG_WORK_DEVIATIONS = 3.0
 MAX_SHED_DOUBLINGS = 4
 MAX_CANDIDATES = 16
+OWN_HISTORY = 128
+
+
+def _make_history() -> deque[tuple[float, int]]:
+    return deque(maxlen=OWN_HISTORY)
 
 
 @dataclass(slots=True)
@@ -37,7 +42,12 @@
 
     mean: float = DEFAULT_WORK_SECONDS
     deviation: float = 0.0
-    known: bool = False
+    count: int = 0
+
+    @property
+    def report_life(self) -> float:
+        """How long a load report stays of use, in seconds; forever while nothing has ended."""
+        return self.mean if self.count else float("inf")
 
     @property
     def long(self) -> float:
@@ -46,12 +56,12 @@
 
     def note(self, seconds: float) -> None:
         """Counts one request."""
-        if not self.known:
-            self.known = True
-            self.mean = seconds
+        self.count += 1
+        weight = max(WORK_TIME_WEIGHT, 1.0 / self.count)
         difference = seconds - self.mean
-        self.mean += WORK_TIME_WEIGHT * difference
-        self.deviation += WORK_TIME_WEIGHT * (abs(difference) - self.deviation)
+        self.mean += weight * difference
+        if self.count > 1:
+            self.deviation += weight * (abs(difference) - self.deviation)
 
 
 @dataclass(slots=True)
@@ -88,6 +98,7 @@
     reported_busy: int = 0
     reported_at: float = 0.0
     own_when_reported: int = 0
+    _own_history: deque[tuple[float, int]] = field(default_factory=_make_history, repr=False)
 
     @property
     def takes_work(self) -> bool:
@@ -98,6 +109,23 @@
         """Whether another request may be dispatched to it now."""
         return self.takes_work and now >= self.closed_until and self.in_progress < int(self.limit)
 
+    def start_request(self, now: float) -> None:
+        """Counts a request of this entry VM that begins there."""
+        self.in_progress += 1
+        self._own_history.append((now, self.in_progress))
+
+    def end_request(self, now: float) -> None:
+        """Counts a request of this entry VM that ended there."""
+        self.in_progress -= 1
+        self._own_history.append((now, self.in_progress))
+
+    def _own_at(self, moment: float) -> int:
+        """Returns how many own requests were there at a moment, as far as is remembered."""
+        for at, count in reversed(self._own_history):
+            if at <= moment:
+                return count
+        return 0
+
     def take_report(self, report: LoadReported) -> None:
         """Takes what its load endpoint said."""
         if report.slots > 0:
@@ -106,11 +134,11 @@
             return
         self.reported_at = report.measured_at
         self.reported_busy = report.busy
-        self.own_when_reported = self.in_progress
+        self.own_when_reported = self._own_at(report.measured_at)
         if report.draining:
             self.start_leaving("load report")
-        if self.in_progress:
-            self._judge(agrees=report.busy >= self.in_progress)
+        if self.own_when_reported:
+            self._judge(agrees=report.busy >= self.own_when_reported)
 
     def take_answer(self) -> None:
         """Notes a request that it answered."""
@@ -118,13 +146,13 @@
         self.sheds = 0
         self.limit = min(float(max(self.slots, MIN_LIMIT)), self.limit + LIMIT_INCREASE)
 
-    def take_shed(self, closed_until: float) -> None:
+    def take_shed(self, closed_until: float, report_is_current: bool) -> None:
         """Notes a request that it refused, for want of a slot, without running it."""
         self.failures = 0
         self.sheds = min(self.sheds + 1, MAX_SHED_DOUBLINGS)
         self.closed_until = closed_until
         self.limit = max(MIN_LIMIT, self.limit * LIMIT_DECREASE)
-        if self.reported_at:
+        if report_is_current:
             self._judge(agrees=self.reported_busy >= self.slots - 1)
 
     def take_failure(self) -> None:
--- a/marjoramford/balancers.py
+++ b/marjoramford/balancers.py
@@ -173,7 +173,7 @@
             "running": self._coordinator.running,
             "waiting": self._coordinator.waiting,
             "entry_vms": [asdict(vm) for vm in node.entry_vms.others()],
-            "backend_servers": [asdict(server) for server in node.servers.values()],
+            "backend_servers": [_public(server) for server in node.servers.values()],
             "catalogue": [entry.name for entry in node.catalogue.values() if not entry.retired],
             "retired": [entry.name for entry in node.catalogue.values() if entry.retired],
             "counters": dict(node.counters),
@@ -230,6 +230,11 @@
         return actions + self._gossip.tick(now)
 
 
+def _public(aggregate) -> dict[str, object]:
+    fields = asdict(aggregate)
+    return {name: value for name, value in fields.items() if not name.startswith("_")}
+
+
 def _make_node(
     identity: Identity,
     settings: CoreSettings,
--- a/marjoramford/choosers.py
+++ b/marjoramford/choosers.py
@@ -82,12 +82,12 @@
 
     Attributes:
         key: identifies the work, for hashing.
-        mean_work: mean time the service's work takes, in seconds.
+        report_life: how long a load report stays of use, in seconds: the mean time of work.
     """
 
     key: str
     zone: str
-    mean_work: float
+    report_life: float
     now: float
 
 
@@ -151,4 +151,4 @@
     if not server.reported_at:
         return 0.0
     age = max(0.0, choice.now - server.reported_at)
-    return server.trust * math.exp(-age / max(choice.mean_work, 0.001))
+    return server.trust * math.exp(-age / max(choice.report_life, 0.001))
--- a/marjoramford/comparisons.py
+++ b/marjoramford/comparisons.py
@@ -11,7 +11,8 @@
 
 ORACLE = "oracle"
 LOAD = 0.7
-WINDOWS = 4
+WINDOWS = 5
+WARM_WINDOWS = 4
 WINDOW_SECONDS = 30.0
 SEEDS = (1, 2, 3)
 MAX_WARM_SECONDS = 120.0
@@ -50,7 +51,8 @@
     offered = whole = 0
     for seed in seeds:
         measures = _run(deployment, policy, work, reports, seed)
-        windows += [ratio for ratios in measures.imbalance.values() for ratio in ratios]
+        for ratios in measures.imbalance.values():
+            windows += ratios[-WARM_WINDOWS:]
         offered += sum(kind.offered for kind in measures.kinds.values())
         whole += sum(kind.whole for kind in measures.kinds.values())
     windows.sort()
--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -119,7 +119,7 @@
             self._node.counters["late_outcomes"] += 1
             return []
         record = running.record
-        running.server.in_progress -= 1
+        running.server.end_request(now)
         self._load[record.service] -= 1
         self._take_evidence(running, event.outcome, now)
         actions = self._after_dispatch(record, event.outcome, now)
@@ -247,7 +247,7 @@
         self._dispatches += 1
         record.dispatch(server.name, self._dispatches, now, node.invariants)
         self._running[self._dispatches] = _Running(record, server)
-        server.in_progress += 1
+        server.start_request(now)
         self._load[record.service] += 1
         node.counters["dispatches"] += 1
         return Dispatch(
@@ -286,9 +286,9 @@
         servers = [server for server in candidates if server.is_open(now)]
         if not servers:
             return None
-        mean_work = node.servers.work_time(record.service).mean
+        report_life = node.servers.work_time(record.service).report_life
         key = f"{record.flow}/{record.number}"
-        choice = Choice(key, node.own.zone, mean_work, now)
+        choice = Choice(key, node.own.zone, report_life, now)
         return choose(node.policy, servers, choice, node.random)
 
     def _take_evidence(self, running: _Running, outcome: DispatchOutcome, now: float) -> None:
@@ -310,7 +310,9 @@
                 server.closed_until = now + UNREACHABLE_BACKOFF_SECONDS
                 servers.eject_if_bad(server, now)
             case ProvedNotRun():
-                server.take_shed(now + self._shed_backoff(server))
+                age = now - server.reported_at
+                current = age < servers.work_time(server.service).report_life
+                server.take_shed(now + self._shed_backoff(server), current)
             case BrokenOff():
                 server.take_failure()
                 servers.eject_if_bad(server, now)
@@ -360,14 +362,14 @@
         heapq.heappush(self._due, (forget_at, number, request))
         if record.is_final:
             return []
-        actions = self._cancel(record)
+        actions = self._cancel(record, now)
         return actions + self._give_up(record, "deadline has passed", now)
 
-    def _cancel(self, record: RequestRecord) -> list[Action]:
+    def _cancel(self, record: RequestRecord, now: float) -> list[Action]:
         match record.state:
             case Dispatched(dispatch=dispatch):
                 running = self._running.pop(dispatch)
-                running.server.in_progress -= 1
+                running.server.end_request(now)
                 self._load[record.service] -= 1
                 return [CancelDispatch(dispatch)]
             case _:
--- /dev/null
+++ b/tools/measure_switches.py
@@ -0,0 +1,57 @@
+"""Measures a mechanism switched on and off, on the same seeds, as JSON lines."""
+
+import json
+import logging
+
+import fire
+
+from marjoramford.experiments import Experiment, Plan
+from marjoramford.settings import CoreSettings
+from marjoramford.standins.deployments import DEPLOYMENTS
+from marjoramford.standins.worlds import WorldSettings
+
+NO_RETRIES = {"load": {"retry_share": 0.0, "retry_burst": 1.0}}
+ENDLESS_RETRIES = {"load": {"retry_share": 1.0, "retry_burst": 10_000.0}}
+NO_LEASES = {"times": {"load_lease": 0.001, "connection_lease": 0.001}}
+CASES = {
+    "retry budget 0.2, load 2.0": ({}, 2.0),
+    "no retries, load 2.0": (NO_RETRIES, 2.0),
+    "endless retries, load 2.0": (ENDLESS_RETRIES, 2.0),
+    "leased shares, load 0.6": ({}, 0.6),
+    "equal shares, load 0.6": (NO_LEASES, 0.6),
+    "leased shares, load 0.9": ({}, 0.9),
+    "equal shares, load 0.9": (NO_LEASES, 0.9),
+}
+
+
+def main(deployment: str = "heritage", seconds: float = 60.0, seeds: int = 3) -> None:
+    """Measures every case.
+
+    Args:
+        deployment: heritage or grievance.
+        seconds: virtual seconds of traffic.
+        seeds: how many seeds, from 1.
+    """
+    logging.disable(logging.CRITICAL)
+    for name, (changes, load) in CASES.items():
+        settings = CoreSettings.model_validate(changes)
+        totals = {"offered": 0, "whole": 0, "not_run": 0, "unknown": 0, "dispatches": 0}
+        shares = []
+        for seed in range(1, seeds + 1):
+            plan = Plan(DEPLOYMENTS[deployment], seed, seconds, load=load)
+            experiment = Experiment(plan, WorldSettings(core=settings))
+            measures = experiment.run()
+            shares.append(round(measures.delivered_share_of_slots, 3))
+            for kind in measures.kinds.values():
+                totals["offered"] += kind.offered
+                totals["whole"] += kind.whole
+                totals["not_run"] += kind.not_run
+                totals["unknown"] += kind.unknown
+            for node in experiment.world.entry_nodes.values():
+                totals["dispatches"] += node.balancer.node.counters["dispatches"]
+        row = {"case": name, "delivered_share_of_slots": shares} | totals
+        print(json.dumps(row), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
