--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,7 +9,7 @@
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.standins.sites import plan_site
 
-from .processes import Fleet
+from .processes import Fleet, fetch
 
 
 @pytest.fixture
@@ -82,3 +82,52 @@
     assert "retired" in fleet.call("catalogue", "--at", places[1]).stdout
     late = fleet.call("converged", "--revision=99", f"--at={places[0]}", "--seconds=0.2")
     assert late.returncode == 1
+
+
+def ledger(fleet) -> dict[str, int]:
+    """Returns how often each piece of work was started, over all servers."""
+    started: dict[str, int] = {}
+    for record in fleet.site.servers:
+        found = fetch(f"http://{record.host}:{record.http_port}/ledger")
+        assert found["misdirected"] == 0
+        for work, count in found["started"].items():
+            started[work] = started.get(work, 0) + count
+    return started
+
+
+def seen_as(fleet, observer: str, name: str) -> str:
+    return next(vm["state"] for vm in fleet.state(observer)["entry_vms"] if vm["name"] == name)
+
+
+@pytest.mark.parametrize("failure", [signal.SIGSTOP, signal.SIGKILL])
+def test_a_paused_or_killed_entry_vm_runs_nothing_twice(fleet, failure):
+    callers = [fleet.caller("booking", "hold", 8) for _ in range(4)]
+    struck = next_with_flows(fleet)
+    observer = next(vm.name for vm in fleet.site.entry_vms if vm.name != struck)
+    fleet.signal(struck, failure)
+    fleet.wait_until(lambda: seen_as(fleet, observer, struck) == "lost")
+    if failure == signal.SIGSTOP:
+        fleet.signal(struck, signal.SIGCONT)
+        fleet.wait_until(lambda: seen_as(fleet, observer, struck) == "alive")
+    results = [finish(process) for process in callers]
+    started = ledger(fleet)
+    outcomes = [outcome for result in results for outcome in result["outcomes"]]
+    assert len(outcomes) == 32
+    assert all(result["foreign"] == 0 for result in results)
+    assert all(count == 1 for count in started.values())
+    for outcome in outcomes:
+        runs = started.get(outcome["work"], 0)
+        assert runs == 1 or outcome["result"] != "whole", outcome
+        assert runs == 0 or outcome["result"] != "not_run", outcome
+
+
+def test_a_second_signal_stops_at_once_and_says_what_was_cut(fleet):
+    caller = fleet.caller("booking", "board", 20)
+    stopped = next_with_flows(fleet)
+    fleet.signal(stopped, signal.SIGTERM)
+    fleet.wait_until(lambda: "drain started" in fleet.log(stopped))
+    fleet.signal(stopped, signal.SIGTERM)
+    fleet.wait_for_exit(stopped)
+    text = fleet.log(stopped)
+    assert "stopped at once requests_cut=" in text or "drain finished" in text
+    assert finish(caller)["status"] == 0
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -1,7 +1,4 @@
-"""Measures how evenly each policy spreads work, beside an oracle, on the same seeds.
-
-Prints one JSON line for each case, and with --plot writes a picture of the ratios.
-"""
+"""Measures how evenly each policy spreads work, beside an oracle, and draws the result."""
 
 import json
 import logging
@@ -13,33 +10,27 @@
 from marjoramford.comparisons import ORACLE, REPORTS, Evenness, measure_evenness
 
 
-def main(
+def measure(
     deployment: str = "grievance",
     policies: str = "random,two_choices,reported,estimated",
     works: str = "0.3,1,5,60",
     reports: str = ",".join(REPORTS),
-    plot: str = "",
 ) -> None:
-    """Measures policies.
+    """Measures policies and prints one JSON line for each case.
 
     Args:
         deployment: heritage or grievance.
         policies: names, separated by commas.
         works: mean times of work in seconds, separated by commas.
         reports: how load reports are, separated by commas.
-        plot: where a picture of the ratios goes; none if empty.
     """
     logging.disable(logging.CRITICAL)
-    rows = []
     for work in (float(text) for text in _split(works)):
         oracle = measure_evenness(deployment, ORACLE, work, REPORTS["fresh"])
         for report in _split(reports):
             for name in _split(policies):
                 found = measure_evenness(deployment, name, work, REPORTS[report])
-                rows.append(_row(name, work, report, found, oracle))
-                print(json.dumps(rows[-1]), flush=True)
-    if plot:
-        draw(rows, Path(plot))
+                print(json.dumps(_row(name, work, report, found, oracle)), flush=True)
 
 
 def _row(
@@ -60,8 +51,15 @@
     }
 
 
-def draw(rows: list[dict], path: Path) -> None:
-    """Draws the ninth decile's ratio to the oracle, a panel for each time of work."""
+def draw(rows_file: str, picture: str) -> None:
+    """Draws the ninth decile's ratio to the oracle, a panel for each time of work.
+
+    Args:
+        rows_file: file with the JSON lines that `measure` printed.
+        picture: where the picture goes.
+    """
+    lines = Path(rows_file).read_text(encoding="utf-8").splitlines()
+    rows = [json.loads(line) for line in lines]
     works = sorted({row["work_seconds"] for row in rows})
     figure, panels = plt.subplots(1, len(works), sharey=True, figsize=(3.2 * len(works), 3.4))
     for panel, work in zip([panels] if len(works) == 1 else panels, works, strict=True):
@@ -75,7 +73,7 @@
     figure.axes[0].set_ylabel("ninth decile / oracle's")
     figure.axes[0].legend(fontsize=7)
     figure.tight_layout()
-    figure.savefig(path, dpi=110)
+    figure.savefig(picture, dpi=110)
 
 
 def _split(text) -> list[str]:
@@ -83,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    fire.Fire({"measure": measure, "draw": draw})
