One judge for demo and experiment; every event is logged somewhere

Read as a newcomer: outcomes were judged twice with the same rules, in the demo and in experiments; the coordinator also built datagrams. Both are modules of their own now. No check changed its meaning.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -18,14 +18,13 @@
     ANSWER_PIECE_BYTES,
     MAX_ANSWER_PIECES,
     MAX_REQUEST_BODY_BYTES,
-    Answer,
     CoordinatorLost,
-    NotRun,
     OutcomeUnknown,
     Request,
     encode,
 )
 from .nodes import Node
+from .outcomes import final_datagrams
 from .queues import CLASS_RANKS, WaitingQueue
 from .records import KindRules
 from .requests import (
@@ -397,7 +396,7 @@
         return self._report(record)
 
     def _report(self, record: RequestRecord) -> list[Action]:
-        return [SendToCaller(record.caller, payload) for payload in _final_datagrams(record)]
+        return [SendToCaller(record.caller, payload) for payload in final_datagrams(record)]
 
     def _queue(self, service: str) -> WaitingQueue:
         queue = self._queues.get(service)
@@ -416,27 +415,3 @@
             budget = RetryBudget(load.retry_share, load.retry_burst)
             self._budgets[service] = budget
         return budget
-
-
-def _final_datagrams(record: RequestRecord) -> list[bytes]:
-    match record.state:
-        case Answered(body=body):
-            starts = range(0, max(len(body), 1), ANSWER_PIECE_BYTES)
-            return [
-                encode(
-                    Answer(
-                        record.flow,
-                        record.number,
-                        piece,
-                        len(starts),
-                        body[start : start + ANSWER_PIECE_BYTES],
-                    )
-                )
-                for piece, start in enumerate(starts)
-            ]
-        case Refused(reason=reason, retry_at=retry_at):
-            return [encode(NotRun(record.flow, record.number, reason, retry_at))]
-        case Unknown(reason=reason):
-            return [encode(OutcomeUnknown(record.flow, record.number, reason))]
-        case _:
-            return []
--- a/marjoramford/experiments.py
+++ b/marjoramford/experiments.py
@@ -8,6 +8,7 @@
 from .standins.caller_sessions import CallerSession
 from .standins.deployments import Deployment, Traffic
 from .standins.faults import FAULT_SETS, Fault, provoke
+from .standins.judgements import KindTally, PromiseTally, judge_requests
 from .standins.worlds import START, World, WorldSettings
 
 WINDOW_SECONDS = 30.0
@@ -39,16 +40,6 @@
     request_seconds: float = REQUEST_SECONDS
 
 
-@dataclass(slots=True)
-class KindMeasure:
-    """What became of one kind of requests."""
-
-    offered: int = 0
-    whole: int = 0
-    not_run: int = 0
-    unknown: int = 0
-
-
 @dataclass(slots=True)
 class Measures:
     """The brief's measures of one run; times in seconds."""
@@ -57,14 +48,12 @@
     deployment: str
     seconds: float
     faults: list[str] = field(default_factory=list)
-    kinds: dict[str, KindMeasure] = field(default_factory=dict)
+    kinds: dict[str, KindTally] = field(default_factory=dict)
     weighted_service: float = 0.0
     broken_flows: Counter[str] = field(default_factory=Counter)
     flows: int = 0
     upload_restarts: int = 0
-    foreign: int = 0
-    ran_twice: int = 0
-    false_not_run: int = 0
+    promises: PromiseTally = field(default_factory=PromiseTally)
     wrong_service: int = 0
     late_work: int = 0
     misdirected: int = 0
@@ -82,9 +71,9 @@
     def promises_kept(self) -> bool:
         """Whether nothing happened that must never happen."""
         faults = (
-            self.foreign,
-            self.ran_twice,
-            self.false_not_run,
+            self.promises.foreign,
+            self.promises.ran_twice,
+            self.promises.false_not_run,
             self.wrong_service,
             self.late_work,
             self.spread_missing,
@@ -146,7 +135,7 @@
 
     def _offer(self, traffic: Traffic, rate: float) -> None:
         world = self.world
-        idempotent = self._is_idempotent(traffic)
+        idempotent = self._plan.deployment.is_idempotent(traffic)
 
         def offer_one() -> None:
             if world.now >= self._end:
@@ -158,10 +147,6 @@
 
         world.after(world.random.expovariate(rate), offer_one)
 
-    def _is_idempotent(self, traffic: Traffic) -> bool:
-        rules = self._plan.deployment.service(traffic.service).kinds
-        return any(rule.name == traffic.kind and rule.idempotent for rule in rules)
-
     def _schedule_faults(self) -> None:
         faults = FAULT_SETS[self._plan.faults]
         if not faults:
@@ -236,18 +221,10 @@
 
     def _judge_session(self, traffic: Traffic, session: CallerSession) -> None:
         measures = self._measures
-        measures.foreign += session.foreign
         measures.reopened.update(session.reopened)
-        kind = measures.kinds.setdefault(traffic.kind, KindMeasure())
-        idempotent = self._is_idempotent(traffic)
-        for outcome in session.outcomes:
-            runs = self.world.ledger.started[outcome.work]
-            kind.offered += 1
-            kind.whole += outcome.result == "whole"
-            kind.not_run += outcome.result == "not_run"
-            kind.unknown += outcome.result == "unknown"
-            measures.false_not_run += outcome.result == "not_run" and runs > 0
-            measures.ran_twice += runs > 1 and not idempotent
+        kind = measures.kinds.setdefault(traffic.kind, KindTally())
+        idempotent = self._plan.deployment.is_idempotent(traffic)
+        judge_requests(session, self.world.ledger, idempotent, kind, measures.promises)
         if traffic.shape != "request":
             self._judge_stream(session)
 
--- a/marjoramford/publications.py
+++ b/marjoramford/publications.py
@@ -59,6 +59,13 @@
         """Applies a record; tells whether the entry VMs that share limits changed."""
         if not self._node.vm_list.apply(record):
             return False
+        log_event(
+            logger,
+            LogEvent.VM_LIST_APPLIED,
+            vm=record.name,
+            state=record.state,
+            revision=record.revision,
+        )
         self._node.servers.apply_record(record)
         self._node.entry_vms.apply_record(record)
         if record.role != "entry":
--- a/marjoramford/standins/demos.py
+++ b/marjoramford/standins/demos.py
@@ -18,6 +18,7 @@
 from .callers import CallerStandin
 from .deployments import Deployment, Traffic
 from .fabrics import FabricStandin, Weather
+from .judgements import KindTally, PromiseTally, judge_requests
 from .platform_models import PlatformModel
 from .platforms import PlatformStandin
 from .server_models import Ledger, ServerModel
@@ -38,25 +39,13 @@
     return ServerStandin(model, record.host, record.data_port, record.http_port)
 
 
-@dataclass(slots=True)
-class KindTally:
-    """What became of one kind of traffic."""
-
-    offered: int = 0
-    whole: int = 0
-    refused: int = 0
-    unknown: int = 0
-
-
 @dataclass(slots=True)
 class DemoReport:
     """What a demo run showed."""
 
     kinds: dict[str, KindTally] = field(default_factory=dict)
+    promises: PromiseTally = field(default_factory=PromiseTally)
     broken_flows: int = 0
-    foreign: int = 0
-    ran_twice: int = 0
-    false_not_run: int = 0
     misdirected: int = 0
     violations: int = 0
     imbalance: dict[str, float] = field(default_factory=dict)
@@ -69,9 +58,9 @@
         """Whether nothing happened that must never happen."""
         faults = (
             self.broken_flows,
-            self.foreign,
-            self.ran_twice,
-            self.false_not_run,
+            self.promises.foreign,
+            self.promises.ran_twice,
+            self.promises.false_not_run,
             self.misdirected,
             self.violations,
         )
@@ -259,8 +248,8 @@
         now = time.time()
         for traffic, caller in self._callers:
             tally = self.report.kinds.setdefault(traffic.kind, KindTally())
-            judge_session(self.report, tally, caller.session, now)
-        judge_ledger(self.report, self._ledger, [c.session for _, c in self._callers])
+            self._judge_session(traffic, caller.session, tally, now)
+        self.report.misdirected = self._ledger.misdirected
         self.report.violations = sum(
             sum(daemon.core.balancer.node.invariants.violations.values())
             for daemon in self._daemons.values()
@@ -269,6 +258,19 @@
             [server.model for server in self._servers.values()], now
         )
 
+    def _judge_session(
+        self, traffic: Traffic, session: CallerSession, tally: KindTally, now: float
+    ) -> None:
+        report = self.report
+        idempotent = self.deployment.is_idempotent(traffic)
+        judge_requests(session, self._ledger, idempotent, tally, report.promises)
+        report.reopened.update(session.reopened)
+        if traffic.shape != "request":
+            broken = session.was_broken(now)
+            tally.offered += 1
+            tally.whole += not broken and (session.upload is None or session.upload.whole)
+            report.broken_flows += broken
+
     async def _stop(self) -> None:
         for _, caller in self._callers:
             caller.close()
@@ -282,34 +284,6 @@
             await self._runner.cleanup()
 
 
-def judge_session(report: DemoReport, tally: KindTally, session: CallerSession, now: float) -> None:
-    """Adds what one caller saw to a report."""
-    report.foreign += session.foreign
-    report.reopened.update(session.reopened)
-    for outcome in session.outcomes:
-        tally.offered += 1
-        tally.whole += outcome.result == "whole"
-        tally.refused += outcome.result == "not_run"
-        tally.unknown += outcome.result == "unknown"
-    if session.board is not None or session.upload is not None:
-        broken = session.stalled(now)
-        whole = session.upload is None or session.upload.whole
-        tally.offered += 1
-        tally.whole += whole and not broken
-        report.broken_flows += broken
-
-
-def judge_ledger(report: DemoReport, ledger: Ledger, sessions: list[CallerSession]) -> None:
-    """Compares what callers were told with what servers ran."""
-    report.misdirected += ledger.misdirected
-    for session in sessions:
-        for outcome in session.outcomes:
-            runs = ledger.started[outcome.work]
-            report.false_not_run += outcome.result == "not_run" and runs > 0
-            idempotent = outcome.kind in ("seats", "clause")
-            report.ran_twice += runs > 1 and not idempotent
-
-
 def imbalance_by_service(models: list[ServerModel], now: float) -> dict[str, float]:
     """Returns each service's busiest server's busy time over the mean, leaving servers aside."""
     by_service: dict[str, list[float]] = {}
--- a/marjoramford/standins/deployments.py
+++ b/marjoramford/standins/deployments.py
@@ -67,6 +67,11 @@
         """Returns a service by name."""
         return next(service for service in self.services if service.name == name)
 
+    def is_idempotent(self, traffic: Traffic) -> bool:
+        """Tells whether running one request of the traffic's kind twice does no harm."""
+        rules = self.service(traffic.service).kinds
+        return any(rule.name == traffic.kind and rule.idempotent for rule in rules)
+
 
 HERITAGE = Deployment(
     name="heritage",
--- a/marjoramford/tables.py
+++ b/marjoramford/tables.py
@@ -21,16 +21,16 @@
 def render_demo(deployment: str, report: DemoReport) -> str:
     """Returns what a demo showed as text."""
     rows = [
-        (kind, tally.offered, tally.whole, tally.refused, tally.unknown)
+        (kind, tally.offered, tally.whole, tally.not_run, tally.unknown)
         for kind, tally in report.kinds.items()
     ]
     imbalance = ", ".join(f"{name} {value:.2f}" for name, value in report.imbalance.items())
     facts = [
         ("changes made", "; ".join(report.events)),
         ("broken flows", report.broken_flows),
-        ("answers or pieces of others", report.foreign),
-        ("non-idempotent requests run twice", report.ran_twice),
-        ("refused as not run, but run", report.false_not_run),
+        ("answers or pieces of others", report.promises.foreign),
+        ("non-idempotent requests run twice", report.promises.ran_twice),
+        ("refused as not run, but run", report.promises.false_not_run),
         ("datagrams at a wrong server", report.misdirected),
         ("violated invariants", report.violations),
         ("imbalance (busiest server / mean)", imbalance),
@@ -39,7 +39,7 @@
     ]
     width = max(len(name) for name, _ in facts)
     lines = [f"deployment {deployment}", ""]
-    lines.append(render_table(("kind", "offered", "whole", "refused", "unknown"), rows))
+    lines.append(render_table(("kind", "offered", "whole", "not run", "unknown"), rows))
     lines.append("")
     lines += [f"{name.ljust(width)}  {value}" for name, value in facts]
     verdict = "every promise was kept" if report.promises_kept else "A PROMISE WAS BROKEN"
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -66,13 +66,13 @@
         return actions
 
     monkeypatch.setattr(Forwarder, "_request", refuse_too)
-    assert run(HERITAGE, 1, "none", 5.0).false_not_run > 0
+    assert run(HERITAGE, 1, "none", 5.0).promises.false_not_run > 0
 
 
 def test_notices_a_retry_after_an_unknown_outcome(monkeypatch):
     always = KindRules("planted", idempotent=True)
     monkeypatch.setattr(RequestCoordinator, "_rules", lambda self, service, kind: always)
-    assert any(run(HERITAGE, seed, "unplanned", 20.0).ran_twice for seed in range(1, 6))
+    assert any(run(HERITAGE, seed, "unplanned", 20.0).promises.ran_twice for seed in range(1, 6))
 
 
 def test_notices_an_older_revision_being_applied(monkeypatch):
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -20,6 +20,12 @@
     assert listed == {int(event): event.name.lower().replace("_", " ") for event in LogEvent}
 
 
+def test_every_event_is_logged_somewhere():
+    sources = [path.read_text() for path in (DOCS.parent / "marjoramford").glob("*.py")]
+    text = "".join(sources)
+    assert [event.name for event in LogEvent if f"LogEvent.{event.name}" not in text] == []
+
+
 def keys_and_defaults(model: type[BaseModel], prefix: str = ""):
     for name, field in model.model_fields.items():
         kind = field.annotation
