--- a/marjoramford/benches.py
+++ b/marjoramford/benches.py
@@ -25,7 +25,8 @@
 from .records import CatalogueEntry, KindRules, VmRecord
 from .settings import CoreSettings
 from .standins.deployments import HERITAGE, ServiceShape
-from .standins.worlds import START, World, WorldSettings
+from .standins.schedules import START
+from .standins.worlds import World, WorldSettings
 
 HOST = "127.0.0.1"
 NOW = 1000.0
--- a/marjoramford/experiments.py
+++ b/marjoramford/experiments.py
@@ -9,7 +9,8 @@
 from .standins.deployments import Deployment, Traffic
 from .standins.faults import FAULT_SETS, Fault, provoke
 from .standins.judgements import KindTally, PromiseTally, judge_requests
-from .standins.worlds import START, World, WorldSettings
+from .standins.schedules import START
+from .standins.worlds import World, WorldSettings
 
 WINDOW_SECONDS = 30.0
 WARM_SECONDS = 5.0
--- a/marjoramford/standins/faults.py
+++ b/marjoramford/standins/faults.py
@@ -7,7 +7,8 @@
 
 from ..events import DrainRequested
 from ..keys import KeyRing
-from .worlds import KEYS, PLATFORM, EntryNode, ServerNode, World, copy_platform
+from .networks import PLATFORM
+from .worlds import KEYS, EntryNode, ServerNode, World, copy_platform
 
 MIN_ENTRY_VMS = 3
 DRAIN_SECONDS = 8.0
@@ -197,15 +198,15 @@
     match fault:
         case CutZones(seconds=seconds):
             one, other = world.random.sample(zones, 2)
-            world.cut(one, other)
-            world.after(seconds, world.heal)
+            world.network.cut(one, other)
+            world.after(seconds, world.network.heal)
             return f"{one} {other}"
         case CutPlatform(seconds=seconds):
             zone = world.random.choice(zones)
             for other in (*zones, PLATFORM):
                 if other != zone:
-                    world.cut(zone, other)
-            world.after(seconds, world.heal)
+                    world.network.cut(zone, other)
+            world.after(seconds, world.network.heal)
             return zone
         case PlatformDown(seconds=seconds):
             world.platform_down = True
--- /dev/null
+++ b/marjoramford/standins/schedules.py
@@ -0,0 +1,32 @@
+"""A virtual clock."""
+
+import heapq
+from collections.abc import Callable
+
+START = 1_000_000.0
+
+
+class Schedule:
+    """Calls to be made at moments of a virtual clock, in epoch seconds."""
+
+    def __init__(self) -> None:
+        self.now = START
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+
+    def at(self, moment: float, call: Callable[[], None]) -> None:
+        """Schedules a call."""
+        self._sequence += 1
+        heapq.heappush(self._queue, (moment, self._sequence, call))
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        """Schedules a call some time from now."""
+        self.at(self.now + seconds, call)
+
+    def run_until(self, moment: float) -> None:
+        """Runs everything that is due up to a moment."""
+        while self._queue and self._queue[0][0] <= moment:
+            due, _, call = heapq.heappop(self._queue)
+            self.now = max(self.now, due)
+            call()
+        self.now = max(self.now, moment)
--- a/marjoramford/standins/worlds.py
+++ b/marjoramford/standins/worlds.py
@@ -4,7 +4,6 @@
 cuts. The servers' ledger and the callers' sessions judge; the balancers' own counters do not.
 """
 
-import heapq
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
@@ -53,11 +52,11 @@
 from ..settings import CoreSettings
 from .caller_sessions import CallerSession
 from .deployments import Deployment
+from .networks import PLATFORM, Network
 from .platform_models import PlatformModel
+from .schedules import Schedule
 from .server_models import Ledger, ServerModel, Started, TurnedAway
 
-PLATFORM = "platform"
-START = 1_000_000.0
 WATCH_SECONDS = 0.05
 PROBE_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -110,14 +109,15 @@
     ended: bool = False
 
 
-class World:
+class World(Schedule):
     """Several entry VMs, backend servers, callers and the platform under a virtual clock."""
 
     def __init__(self, deployment: Deployment, seed: int, settings: WorldSettings):
+        super().__init__()
         self.deployment = deployment
         self.settings = settings
         self.random = Random(seed)
-        self.now = START
+        self.network = Network(deployment, self.random, settings.loss, settings.duplication)
         self.platform = PlatformModel()
         self.platform_down = False
         self.stale_platform: PlatformModel | None = None
@@ -125,13 +125,10 @@
         self.entry_nodes: dict[str, EntryNode] = {}
         self.server_nodes: dict[str, ServerNode] = {}
         self.sessions: list[CallerSession] = []
-        self.cuts: set[frozenset[str]] = set()
         self.drop_handover_acks = False
         self.spread_pending: dict[int, float] = {}
         self.spread_seconds: list[float] = []
         self.leaving_since: dict[str, float] = {}
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._sequence = 0
         self._callers: dict[Address, CallerSession] = {}
         self._by_inner: dict[Address, EntryNode | ServerNode] = {}
         self._by_http: dict[Address, EntryNode | ServerNode] = {}
@@ -139,25 +136,6 @@
         self._hosts = 0
         self._build()
 
-    # Time.
-
-    def at(self, moment: float, call: Callable[[], None]) -> None:
-        """Schedules a call."""
-        self._sequence += 1
-        heapq.heappush(self._queue, (moment, self._sequence, call))
-
-    def after(self, seconds: float, call: Callable[[], None]) -> None:
-        """Schedules a call some time from now."""
-        self.at(self.now + seconds, call)
-
-    def run_until(self, moment: float) -> None:
-        """Runs everything that is due up to a moment."""
-        while self._queue and self._queue[0][0] <= moment:
-            due, _, call = heapq.heappop(self._queue)
-            self.now = max(self.now, due)
-            call()
-        self.now = max(self.now, moment)
-
     # Building and changing the fleet.
 
     def _build(self) -> None:
@@ -350,7 +328,7 @@
         self._loop(node, wait, lambda: self._tick(node))
 
     def _watch(self, node: EntryNode) -> None:
-        reachable = not self.platform_down and not self._is_cut(node.record.zone, PLATFORM)
+        reachable = not self.platform_down and not self.network.is_cut(node.record.zone, PLATFORM)
         if reachable and not node.paused and node.balancer.is_reader():
             self._read_platform(node)
         self._note_spread()
@@ -411,10 +389,10 @@
         self.after(CALLER_POLL_SECONDS, lambda: self._poll_caller(address, session))
 
     def _from_caller(self, address: Address, payload: bytes) -> None:
-        for _ in range(self._copies()):
+        for _ in range(self.network.copies()):
             node = self.random.choice(self._sprayed_over())
             call = partial(self.submit, node, CallerDatagram(address, payload))
-            self.after(self._caller_latency(), call)
+            self.after(self.network.caller_latency(), call)
 
     def _sprayed_over(self) -> list[EntryNode]:
         listed = [
@@ -428,22 +406,16 @@
         session = self._callers.get(action.caller)
         if session is None:
             return
-        for _ in range(self._copies()):
-            self.after(self._caller_latency(), lambda: session.receive(action.payload, self.now))
-
-    def _copies(self) -> int:
-        if self.random.random() < self.settings.loss:
-            return 0
-        return 2 if self.random.random() < self.settings.duplication else 1
-
-    def _caller_latency(self) -> float:
-        return self.deployment.caller_latency_seconds * self.random.uniform(0.5, 2.0)
+        for _ in range(self.network.copies()):
+            self.after(
+                self.network.caller_latency(), lambda: session.receive(action.payload, self.now)
+            )
 
     # Between entry VMs and backend servers.
 
     def _send_inner(self, node: EntryNode, action: SendInner) -> None:
         target = self._by_inner.get(action.address)
-        if target is None or self.random.random() < self.settings.loss:
+        if target is None or self.network.loses():
             return
         latency = self._zone_latency(node, target)
         sender = Address(node.record.host, 2)
@@ -568,26 +540,11 @@
                     return payload
         return None
 
-    # The network between zones.
-
-    def cut(self, one: str, other: str) -> None:
-        """Cuts two availability zones, or one and the platform, off from each other."""
-        self.cuts.add(frozenset((one, other)))
-
-    def heal(self) -> None:
-        """Ends all cuts."""
-        self.cuts.clear()
-
-    def _is_cut(self, one: str, other: str) -> bool:
-        return one != other and frozenset((one, other)) in self.cuts
-
     def _reaches(self, node: EntryNode, target: EntryNode | ServerNode) -> bool:
-        return target.alive and not self._is_cut(node.record.zone, target.record.zone)
+        return target.alive and not self.network.is_cut(node.record.zone, target.record.zone)
 
     def _zone_latency(self, node: EntryNode, target: EntryNode | ServerNode) -> float:
-        same = node.record.zone == target.record.zone
-        base = self.deployment.zone_latency_seconds * (0.2 if same else 1.0)
-        return base * self.random.uniform(0.8, 1.5)
+        return self.network.zone_latency(node.record.zone, target.record.zone)
 
     def _publish_vm(self, record: VmRecord) -> None:
         self.platform.put_vm(record)
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -16,8 +16,9 @@
 from marjoramford.requests import Refused, RequestRecord
 from marjoramford.standins.deployments import DEPLOYMENTS, GRIEVANCE, HERITAGE
 from marjoramford.standins.faults import PlatformStale, provoke
+from marjoramford.standins.schedules import START
 from marjoramford.standins.server_models import ServerModel
-from marjoramford.standins.worlds import START, World, WorldSettings
+from marjoramford.standins.worlds import World, WorldSettings
 
 LOST_HANDOVER_REPLY_SEED = 16
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -5,7 +5,8 @@
 
 from marjoramford.standins import faults
 from marjoramford.standins.deployments import HERITAGE
-from marjoramford.standins.worlds import START, World, WorldSettings
+from marjoramford.standins.schedules import START
+from marjoramford.standins.worlds import World, WorldSettings
 
 scenarios("features/promises.feature")
 
