--- /dev/null
+++ b/tests/test_dispatchers.py
@@ -0,0 +1,130 @@
+"""The leg to backend servers: what proves that a request did not run, and what does not."""
+
+import asyncio
+from itertools import chain, repeat
+
+import pytest
+from aiohttp import web
+
+from marjoramford.actions import CancelDispatch, Dispatch
+from marjoramford.addresses import Address
+from marjoramford.dispatchers import Dispatcher
+from marjoramford.events import AnsweredWhole, BrokenOff, ProvedNotRun
+from marjoramford.standins.sites import free_ports
+
+DEADLINE = 1000.0
+BEFORE, AFTER = DEADLINE - 5.0, DEADLINE + 5.0
+
+
+class FakeCore:
+    """Takes the place of the core: gives orders and keeps what comes back."""
+
+    def __init__(self, times):
+        self.dispatches = asyncio.Queue()
+        self.ended = asyncio.Queue()
+        self._times = iter(times)
+
+    def clock(self) -> float:
+        return next(self._times)
+
+    def submit(self, event) -> None:
+        self.ended.put_nowait(event)
+
+
+def dispatch(handler, times=(), port=None, cancel=False):
+    """Dispatches one request; returns its outcome and how many requests the server saw."""
+    return asyncio.run(_dispatch(handler, times, port, cancel))
+
+
+async def _dispatch(handler, times, port, cancel):
+    seen = asyncio.Queue()
+
+    async def handle(request):
+        seen.put_nowait(request)
+        return await handler(request)
+
+    app = web.Application()
+    app.add_routes([web.post("/requests", handle)])
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    listening = free_ports(1)[0]
+    await web.TCPSite(runner, "127.0.0.1", listening).start()
+    core = FakeCore(chain(times, repeat(BEFORE)))
+    job = asyncio.create_task(Dispatcher(core).run())
+    address = Address("127.0.0.1", port or listening)
+    order = Dispatch(1, address, "booking", "booking-1", 1, 7, 1, "hold", DEADLINE, b"work")
+    core.dispatches.put_nowait(order)
+    outcome = None
+    if cancel:
+        await seen.get()
+        core.dispatches.put_nowait(CancelDispatch(1))
+    else:
+        outcome = (await asyncio.wait_for(core.ended.get(), 30)).outcome
+    count = seen.qsize()
+    await runner.cleanup()
+    job.cancel()
+    return outcome, count
+
+
+async def answer(request):
+    return web.Response(body=b"done:" + await request.read())
+
+
+def refuse(reason):
+    async def handler(request):
+        return web.Response(status=503, headers={"X-Not-Run": reason})
+
+    return handler
+
+
+async def fail(request):
+    return web.Response(status=503)
+
+
+async def break_off(request):
+    request.transport.abort()
+    return web.Response()
+
+
+def test_a_whole_answer():
+    assert dispatch(answer) == (AnsweredWhole(b"done:work"), 1)
+
+
+@pytest.mark.parametrize("times", [(AFTER,), (BEFORE, AFTER)])
+def test_a_pause_past_the_deadline_sends_nothing(times):
+    outcome, seen = dispatch(answer, times)
+    assert isinstance(outcome, ProvedNotRun)
+    assert seen == 0
+
+
+def test_refusals_that_prove_that_nothing_ran():
+    assert dispatch(refuse("shed"))[0] == ProvedNotRun("shed")
+    assert dispatch(refuse("draining"))[0] == ProvedNotRun("draining", draining=True)
+    assert dispatch(refuse("mismatch"))[0] == ProvedNotRun("mismatch", mismatch=True)
+
+
+def test_a_connection_never_made_proves_that_nothing_ran():
+    outcome, _ = dispatch(answer, port=free_ports(1)[0])
+    assert isinstance(outcome, ProvedNotRun)
+    assert outcome.unreachable
+
+
+def test_an_error_without_proof_or_a_broken_connection_proves_nothing():
+    assert isinstance(dispatch(fail)[0], BrokenOff)
+    outcome, seen = dispatch(break_off)
+    assert isinstance(outcome, BrokenOff)
+    assert seen == 1
+
+
+def test_a_cancellation_reaches_the_server():
+    cancelled = []
+
+    async def wait_for_cancellation(request):
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.append(True)
+            raise
+
+    dispatch(wait_for_cancellation, cancel=True)
+    assert cancelled
