A request number far ahead no longer costs memory; deadlines that are no numbers are refused

Cause: the window of request numbers shifted a set of bits by the jump between two numbers; one datagram of a caller with a valid token and number 2**64 - 1 raised MemoryError. A deadline of NaN went into the heap of deadlines and broke its order. Found by reading, shown by the test (MemoryError before, passes after). Load reports are bounded as well.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -2,6 +2,7 @@
 
 import heapq
 import logging
+import math
 from collections import Counter
 from dataclasses import dataclass
 
@@ -161,13 +162,14 @@
     ) -> list[Action]:
         rules = self._rules(token.service, request.kind)
         latest = now + self._node.settings.times.max_request
+        deadline = request.deadline if math.isfinite(request.deadline) else now
         record = RequestRecord(
             flow=token.flow,
             number=request.number,
             service=token.service,
             kind=request.kind,
             idempotent=rules.idempotent,
-            deadline=min(request.deadline, latest),
+            deadline=min(deadline, latest),
             body=request.body,
             caller=caller,
             state=Waiting(now),
@@ -177,7 +179,7 @@
         flow.keep(record)
         heapq.heappush(self._due, (max(record.deadline, now), token.flow, request.number))
         self._node.counters["requests"] += 1
-        if not request.deadline > now:
+        if deadline <= now:
             return self._give_up(record, "deadline has passed", now)
         if len(request.body) > MAX_REQUEST_BODY_BYTES:
             return self._give_up(record, "body is too long", now)
--- a/marjoramford/probers.py
+++ b/marjoramford/probers.py
@@ -1,9 +1,11 @@
 """Reads backend servers' load endpoints, as often as the control budget allows."""
 
 import asyncio
+from typing import Annotated
 
 import aiohttp
 import msgspec
+from msgspec import Meta
 
 from .balancers import ProbeTarget
 from .cores import Core
@@ -13,13 +15,14 @@
 REQUEST_BYTES = 130
 PROBE_TIMEOUT_SECONDS = 1.0
 MAX_LOAD_BYTES = 4096
+MAX_SLOTS = 100_000
 
 
 class Load(msgspec.Struct, frozen=True):
     """What a load endpoint answers; `measured_at` is in epoch seconds."""
 
-    busy: int
-    slots: int
+    busy: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
     draining: bool = False
     measured_at: float = 0.0
 
--- a/marjoramford/requests.py
+++ b/marjoramford/requests.py
@@ -216,7 +216,8 @@
         if self.frozen or number < 1:
             return Forgotten()
         if number > self._highest:
-            self._seen = ((self._seen << (number - self._highest)) | 1) & _WINDOW_MASK
+            jump = min(number - self._highest, WINDOW_NUMBERS)
+            self._seen = ((self._seen << jump) | 1) & _WINDOW_MASK
             self._highest = number
             return Fresh()
         offset = self._highest - number
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -17,6 +17,7 @@
     HandoverReceived,
     HandoverReplied,
     InnerDatagram,
+    Tick,
     VmListRead,
 )
 from marjoramford.keys import KeyRing, Purpose
@@ -33,6 +34,7 @@
     encode,
 )
 from marjoramford.records import VmRecord
+from marjoramford.requests import Flow, Forgotten, Fresh
 from marjoramford.settings import CoreSettings
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.tokens import verify_token
@@ -158,3 +160,28 @@
     assert balancer.node.catalogue.get("booking").revision == 1
     assert balancer.node.catalogue.get("manifest").revision == 4
     assert balancer.node.counters["records_rejected"] == 1
+
+
+@MANY
+@given(
+    number=st.integers(-(2**63), 2**64 - 1),
+    deadline=st.floats(allow_nan=True, allow_infinity=True),
+    kind=st.text(max_size=20),
+    body=st.binary(max_size=50),
+)
+def test_any_number_and_deadline_in_a_request_is_handled(number, deadline, kind, body):
+    opened = open_flow(BALANCER)
+    request = Request(opened.token, number, kind, deadline, body)
+    BALANCER.handle(CallerDatagram(CALLER, encode(request)), NOW)
+    BALANCER.handle(Tick(), NOW)
+    assert BALANCER.next_tick_at(NOW) >= NOW
+
+
+def test_a_jump_in_numbers_keeps_the_window():
+    flow = Flow("s", "s1", 1.0)
+    assert flow.admit(1) == Fresh()
+    assert flow.admit(2**64 - 1) == Fresh()
+    assert flow.admit(2**64 - 1) == Forgotten()
+    assert flow.admit(2**64 - 2) == Fresh()
+    assert flow.admit(1) == Forgotten()
+    assert flow.seen < 2**64
