--- a/marjoramford/experiments.py
+++ b/marjoramford/experiments.py
@@ -30,6 +30,7 @@
         faults: name of a set of faults.
         fault_interval: mean seconds between faults.
         request_seconds: time from a request to its deadline.
+        sessions_per_kind: flows over which a kind's requests spread; few make uneven demand.
     """
 
     deployment: Deployment
@@ -39,6 +40,7 @@
     load: float = 0.6
     fault_interval: float = 5.0
     request_seconds: float = REQUEST_SECONDS
+    sessions_per_kind: int = SESSIONS_PER_KIND
 
 
 @dataclass(slots=True)
@@ -116,7 +118,7 @@
     def _start_sessions(self) -> None:
         for traffic in self._plan.deployment.traffic:
             streams = max(2, int(STREAM_SESSIONS * traffic.share))
-            count = SESSIONS_PER_KIND if traffic.shape == "request" else streams
+            count = self._plan.sessions_per_kind if traffic.shape == "request" else streams
             for number in range(count):
                 session = self.world.add_session(traffic.service, f"{traffic.kind}-{number}")
                 self._sessions.setdefault(traffic.kind, []).append(session)
--- a/tools/measure_switches.py
+++ b/tools/measure_switches.py
@@ -13,32 +13,41 @@
 NO_RETRIES = {"load": {"retry_share": 0.0, "retry_burst": 1.0}}
 ENDLESS_RETRIES = {"load": {"retry_share": 1.0, "retry_burst": 10_000.0}}
 NO_LEASES = {"times": {"load_lease": 0.001, "connection_lease": 0.001}}
+MANY_FLOWS = 40
+FEW_FLOWS = 2
 CASES = {
-    "retry budget 0.2, load 2.0": ({}, 2.0),
-    "no retries, load 2.0": (NO_RETRIES, 2.0),
-    "endless retries, load 2.0": (ENDLESS_RETRIES, 2.0),
-    "leased shares, load 0.6": ({}, 0.6),
-    "equal shares, load 0.6": (NO_LEASES, 0.6),
-    "leased shares, load 0.9": ({}, 0.9),
-    "equal shares, load 0.9": (NO_LEASES, 0.9),
+    "retry budget 0.2, load 2.0": ({}, 2.0, MANY_FLOWS),
+    "no retries, load 2.0": (NO_RETRIES, 2.0, MANY_FLOWS),
+    "endless retries, load 2.0": (ENDLESS_RETRIES, 2.0, MANY_FLOWS),
+    "leased shares, load 0.6": ({}, 0.6, MANY_FLOWS),
+    "equal shares, load 0.6": (NO_LEASES, 0.6, MANY_FLOWS),
+    "leased shares, load 0.9": ({}, 0.9, MANY_FLOWS),
+    "equal shares, load 0.9": (NO_LEASES, 0.9, MANY_FLOWS),
+    "leased shares, load 0.6, two flows a kind": ({}, 0.6, FEW_FLOWS),
+    "equal shares, load 0.6, two flows a kind": (NO_LEASES, 0.6, FEW_FLOWS),
 }
 
 
-def main(deployment: str = "heritage", seconds: float = 60.0, seeds: int = 3) -> None:
+def main(
+    deployment: str = "heritage", seconds: float = 60.0, seeds: int = 3, only: str = ""
+) -> None:
     """Measures every case.
 
     Args:
         deployment: heritage or grievance.
         seconds: virtual seconds of traffic.
         seeds: how many seeds, from 1.
+        only: measure the cases whose name has this in it.
     """
     logging.disable(logging.CRITICAL)
-    for name, (changes, load) in CASES.items():
+    for name, (changes, load, flows) in CASES.items():
+        if only not in name:
+            continue
         settings = CoreSettings.model_validate(changes)
         totals = {"offered": 0, "whole": 0, "not_run": 0, "unknown": 0, "dispatches": 0}
         shares = []
         for seed in range(1, seeds + 1):
-            plan = Plan(DEPLOYMENTS[deployment], seed, seconds, load=load)
+            plan = Plan(DEPLOYMENTS[deployment], seed, seconds, load=load, sessions_per_kind=flows)
             experiment = Experiment(plan, WorldSettings(core=settings))
             measures = experiment.run()
             shares.append(round(measures.delivered_share_of_slots, 3))
