The rule "is this flow ours" stands once; twins of refusal joined; a share computed once

Found by reading the whole change: coordinators and forwarders each spelled out which coordinators' flows this entry VM decides on (now Node.coordinates_for); two loops refused requests that cannot meet their deadline; a dispatch computed its load share twice, and the invariant LIMIT_HELD compared the second computation with nothing new. It is computed once, and the invariant now checks the count after the request was added, so a fault in counting shows.

Behaviour is as before.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -99,7 +99,7 @@
         if flow is None:
             return [SendToCaller(caller, encode(CoordinatorLost(token.flow)))]
         node = self._node
-        ours = token.coordinator == node.coordinator or token.coordinator in node.adopted_from
+        ours = node.coordinates_for(token.coordinator)
         node.invariants.check(ours, Invariant.COORDINATOR_DECIDES, token.coordinator)
         match flow.admit(request.number):
             case Repeated(record):
@@ -209,16 +209,18 @@
         return self._queue(record.service).expected_wait(record.priority, mean_work, now)
 
     def _give_up_late(self, queue: WaitingQueue, service: str, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for record in queue.drop_late(self._node.servers.work_time(service).long, now):
-            actions += self._give_up(record, "deadline cannot be met", now)
-        return actions
+        """Refuses waiting requests whose deadline leaves too little time for the work."""
+        work = self._node.servers.work_time(service)
+        return self._give_up_unmet(queue.drop_late(work.long, now), now)
 
     def _give_up_hopeless(self, queue: WaitingQueue, service: str, now: float) -> list[Action]:
         """Refuses requests at once that more urgent ones have pushed too far back."""
         work = self._node.servers.work_time(service)
+        return self._give_up_unmet(queue.drop_hopeless(work.long, work.mean, now), now)
+
+    def _give_up_unmet(self, records: list[RequestRecord], now: float) -> list[Action]:
         actions: list[Action] = []
-        for record in queue.drop_hopeless(work.long, work.mean, now):
+        for record in records:
             actions += self._give_up(record, "deadline cannot be met", now)
         return actions
 
@@ -236,20 +238,22 @@
 
     def _start(self, record: RequestRecord, now: float) -> Dispatch | None:
         node = self._node
-        if self._spare_load(record.service, now) < 1:
+        available = self._available_load(record.service, now)
+        if self._load[record.service] >= available:
+            node.want(Want(record.service, Resource.LOAD, 1 + len(self._queue(record.service))))
             return None
         server = self._choose(record, now)
         if server is None:
             return None
         same = server.service == record.service
         node.invariants.check(same, Invariant.SAME_SERVICE, (record.service, server.name))
-        held = self._spare_load(record.service, now) >= 1
-        node.invariants.check(held, Invariant.LIMIT_HELD, record.service)
         self._dispatches += 1
         record.dispatch(server.name, self._dispatches, now, node.invariants)
         self._running[self._dispatches] = _Running(record, server)
         server.start_request(now)
         self._load[record.service] += 1
+        held = self._load[record.service] <= available
+        node.invariants.check(held, Invariant.LIMIT_HELD, record.service)
         node.counters["dispatches"] += 1
         return Dispatch(
             self._dispatches,
@@ -264,17 +268,12 @@
             record.body,
         )
 
-    def _spare_load(self, service: str, now: float) -> int:
-        """Returns how many more requests of a service may run; asks for more when none may."""
+    def _available_load(self, service: str, now: float) -> float:
+        """Returns how many of a service's requests may run; no bound while it is unknown here."""
         entry = self._node.catalogue.get(service)
         if entry is None:
-            return 1
-        limits = self._node.limits
-        available = limits.available(service, Resource.LOAD, entry.max_load, now)
-        spare = available - self._load[service]
-        if spare < 1:
-            self._node.want(Want(service, Resource.LOAD, 1 + len(self._queue(service))))
-        return spare
+            return float("inf")
+        return self._node.limits.available(service, Resource.LOAD, entry.max_load, now)
 
     def _choose(self, record: RequestRecord, now: float) -> BackendServer | None:
         node = self._node
--- a/marjoramford/forwarders.py
+++ b/marjoramford/forwarders.py
@@ -216,12 +216,10 @@
         A token that names another coordinator proves that a frozen flow has moved there, even if
         the successor's reply was lost.
         """
-        node = self._node
-        flow = node.flows.get(token.flow)
+        flow = self._node.flows.get(token.flow)
         if flow is None or flow.moved:
             return False
-        ours = token.coordinator == node.coordinator or token.coordinator in node.adopted_from
-        return ours or not flow.frozen
+        return self._node.coordinates_for(token.coordinator) or not flow.frozen
 
     def _locate(self, token: Token) -> Whereabouts:
         successor = self._node.successor
--- a/marjoramford/nodes.py
+++ b/marjoramford/nodes.py
@@ -56,6 +56,10 @@
         """Returns this incarnation as a coordinator of flows."""
         return Coordinator(self.own.name, self.own.incarnation)
 
+    def coordinates_for(self, coordinator: Coordinator) -> bool:
+        """Tells whether this is the coordinator, or took over flows from it at a planned stop."""
+        return coordinator == self.coordinator or coordinator in self.adopted_from
+
     def want(self, want: Want) -> None:
         """Asks for a larger share of a limit with the next gossip."""
         self.wants[(want.service, want.resource)] = want
