--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -10,6 +10,7 @@
 from .events import LoadReported
 from .logs import LogEvent, log_event
 from .records import VmRecord
+from .silences import Responsiveness
 
 logger = logging.getLogger(__name__)
 
@@ -76,6 +77,9 @@
         ejected_until: not chosen before this time unless every server is bad, in epoch seconds.
         warm_at: when its cold start is over, in epoch seconds.
         trust: how far its load reports agree with what it answers, 0 to 1.
+        open_flows: opaque flows of this entry VM that are open there.
+        unlisted_since: when its entry left the published list; None while it is listed.
+        separable: whether the label of its flows is its own.
     """
 
     name: str
@@ -98,12 +102,16 @@
     reported_busy: int = 0
     reported_at: float = 0.0
     own_when_reported: int = 0
+    open_flows: int = 0
+    unlisted_since: float | None = None
+    separable: bool = True
+    responsiveness: Responsiveness = field(default_factory=Responsiveness, repr=False)
     _own_history: deque[tuple[float, int]] = field(default_factory=_make_history, repr=False)
 
     @property
     def takes_work(self) -> bool:
         """Whether it may get new work at all."""
-        return not self.leaving and not self.gone
+        return self.separable and not self.leaving and not self.gone
 
     def is_open(self, now: float) -> bool:
         """Whether another request may be dispatched to it now."""
@@ -231,6 +239,16 @@
         server.gone = True
         self._version += 1
 
+    def forget(self, server: BackendServer) -> None:
+        """Drops an incarnation that is gone."""
+        if self._by_address.get(server.data_address) is server:
+            del self._by_address[server.data_address]
+        if self._by_name.get(server.name) is server:
+            del self._by_name[server.name]
+            self._by_service[server.service].pop(server.name, None)
+            self._lists.pop(server.service, None)
+        self._version += 1
+
     def eject_if_bad(self, server: BackendServer, now: float) -> None:
         """Ejects a server after repeated failures, unless too many of its service are out."""
         if server.failures < FAILURES_TO_EJECT or server.ejected_until > now:
--- a/marjoramford/choosers.py
+++ b/marjoramford/choosers.py
@@ -102,22 +102,23 @@
             by_name = {server.name: server for server in servers}
             return by_name[rendezvous_order(choice.key, by_name)[0]]
         case LeastInProgress():
-            return _lowest(servers, [server.in_progress for server in servers], 0, random)
+            return lowest(servers, [server.in_progress for server in servers], 0, random)
         case TwoChoices():
             pair = random.sample(servers, min(2, len(servers)))
             return min(pair, key=lambda server: server.in_progress)
         case ReportedLoad():
-            return _lowest(servers, [server.reported_busy for server in servers], 0, random)
+            return lowest(servers, [server.reported_busy for server in servers], 0, random)
         case OracleChoice(busy=busy):
-            return _lowest(servers, [busy(server.name) for server in servers], 0, random)
+            return lowest(servers, [busy(server.name) for server in servers], 0, random)
         case EstimatedOccupancy():
             scores = _estimates(policy, servers, choice)
-            return _lowest(servers, scores, policy.tolerance, random)
+            return lowest(servers, scores, policy.tolerance, random)
 
 
-def _lowest(
+def lowest(
     servers: Sequence[BackendServer], scores: Sequence[float], tolerance: float, random: Random
 ) -> BackendServer:
+    """Draws one of the servers whose scores are within `tolerance` of the lowest."""
     limit = min(scores) + tolerance
     close = [server for server, score in zip(servers, scores, strict=True) if score <= limit]
     return random.choice(close)
--- /dev/null
+++ b/marjoramford/flow_metrics.py
@@ -0,0 +1,67 @@
+"""Prometheus metrics of an entry VM for opaque flows, read from the core when scraped."""
+
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+
+from .flow_balancers import LATENCY_BOUNDS, FlowBalancer, Latencies
+
+
+class FlowBalancerCollector:
+    """Collects one balancer's counters, gauges and histograms."""
+
+    def __init__(self, balancer: FlowBalancer):
+        self._balancer = balancer
+
+    def collect(self) -> Iterator[Metric]:
+        """Yields every metric with its value now."""
+        balancer = self._balancer
+        events = CounterMetricFamily(
+            "marjoramford_packet_events", "Events by name since the start", labels=["name"]
+        )
+        for name, count in sorted(balancer.counters.items()):
+            events.add_metric([name], count)
+        yield events
+        yield _gauge("packet_flows", "Flows seen lately", len(balancer.flows))
+        yield _gauge("list_revision", "Revision of the server list", balancer.list.revision)
+        version = balancer.routes.version if balancer.routes else 0
+        yield _gauge("routes_version", "Version of the routes in force", version)
+        yield _gauge("ready", "1 while flows can be placed", balancer.ready)
+        yield _histogram(
+            "flow_opening_seconds",
+            "From a flow's first packet to the caller's answer to the server's",
+            balancer.opening_latencies,
+        )
+        yield _histogram(
+            "flow_answer_seconds",
+            "From a caller's data to its acknowledgement of an answer",
+            balancer.answer_latencies,
+        )
+
+
+def render_flow_metrics(balancer: FlowBalancer) -> bytes:
+    """Returns the metrics in the Prometheus text format."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(FlowBalancerCollector(balancer))
+    return generate_latest(registry)
+
+
+def _gauge(name: str, text: str, value: float) -> GaugeMetricFamily:
+    return GaugeMetricFamily(f"marjoramford_{name}", text, value=value)
+
+
+def _histogram(name: str, text: str, latencies: Latencies) -> HistogramMetricFamily:
+    buckets = []
+    seen = 0
+    for bound, count in zip((*LATENCY_BOUNDS, "+Inf"), latencies.counts, strict=True):
+        seen += count
+        buckets.append((str(bound), seen))
+    return HistogramMetricFamily(
+        f"marjoramford_{name}", text, buckets=buckets, sum_value=latencies.total
+    )
--- /dev/null
+++ b/marjoramford/flow_settings.py
@@ -0,0 +1,133 @@
+"""Settings of an entry VM for opaque flows, checked when they are read."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+Share = Annotated[float, Meta(ge=0, le=10)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+class _Section(msgspec.Struct, frozen=True, kw_only=True):
+    """Fields that are not known here are passed over: newer platforms may add some."""
+
+
+class SilenceSettings(_Section):
+    """When a backend server is taken for dead.
+
+    Attributes:
+        dead_retransmissions: packets sent again without an answer; three independent losses.
+        dead_seconds: silence beside them, in seconds; the second retransmission comes after 0.6 s.
+        unlisted_seconds: silence of a server that is no longer listed, in seconds; one
+            retransmission, which comes after 0.2 s.
+        doubt_seconds: no new flows after a packet sent again, in seconds; about two heartbeats.
+        stall_seconds: a longer pause of this process makes its evidence void, in seconds.
+    """
+
+    dead_retransmissions: Annotated[int, Meta(ge=1, le=100)] = 3
+    dead_seconds: Seconds = 0.5
+    unlisted_seconds: Seconds = 0.15
+    doubt_seconds: Seconds = 2.0
+    stall_seconds: Seconds = 0.4
+
+
+class PlacementSettings(_Section):
+    """Where new flows open.
+
+    Attributes:
+        other_zone_penalty: share of busy slots by which a server elsewhere must be better.
+        cold_penalty: the same for a server whose cold start is not over.
+        open_flow_weight: what an open but silent flow counts, in requests.
+        tie_tolerance: estimates this close count as equal, in shares of busy slots.
+        copy_seconds: an opening packet sent again after this time without an answer goes to
+            another server, in seconds; below the protocol's 0.2 s to the first copy.
+    """
+
+    other_zone_penalty: Share = 1.0
+    cold_penalty: Share = 0.5
+    open_flow_weight: Share = 0.1
+    tie_tolerance: Share = 0.05
+    copy_seconds: Seconds = 0.1
+
+
+class ListSettings(_Section):
+    """How the published list of servers is believed.
+
+    Attributes:
+        relist_seconds: entries that lapsed while the platform was away are back within this
+            time, in seconds; the platform's two seconds and a margin for the watch.
+        cold_start_seconds: how long a server is slow after its start if its entry does not say.
+        forget_seconds: a server off the list is forgotten after this time, in seconds; the
+            longest life of a flow.
+    """
+
+    relist_seconds: Seconds = 2.5
+    cold_start_seconds: Annotated[float, Meta(ge=0, le=3600)] = 0.0
+    forget_seconds: Seconds = 60.0
+
+
+class ReadSettings(_Section):
+    """How the platform is read.
+
+    Attributes:
+        watch_seconds: how long a watch waits, in seconds; bounds the time until a connection
+            that has gone silent is noticed.
+        timeout: for an answer beyond the wait, in seconds.
+        settle_seconds: pause after changes, so that those that come close together cost one call.
+        retry_seconds: first pause after a failure; doubles up to `max_retry_seconds`.
+    """
+
+    watch_seconds: Seconds = 2.5
+    timeout: Seconds = 1.0
+    settle_seconds: Seconds = 0.2
+    retry_seconds: Seconds = 0.25
+    max_retry_seconds: Seconds = 1.0
+
+
+class StopSettings(_Section):
+    """A planned stop.
+
+    Attributes:
+        grace_seconds: the platform ends the process this long after the signal, in seconds.
+        unready_seconds: until the fabric sends nothing more, in seconds; two missed probes at
+            two a second and a margin.
+        quiet_seconds: the stop is complete once no packet came for this long, in seconds.
+    """
+
+    grace_seconds: Seconds = 6.0
+    unready_seconds: Seconds = 1.5
+    quiet_seconds: Seconds = 0.5
+
+
+class PacketVmSettings(_Section):
+    """The settings file of an entry VM for opaque flows.
+
+    Attributes:
+        packet_address: UDP, from the fabric.
+        ready_address: TCP, readiness and metrics.
+        control_address: TCP, other entry VMs and operators.
+        platform: HTTP address of the platform's store.
+        seeds: control addresses of some entry VMs; any may be down.
+        flow_max_seconds: older flows may be forgotten.
+        max_flows: flows remembered at a time.
+    """
+
+    name: Name
+    zone: Name
+    packet_address: HostPort
+    ready_address: HostPort
+    control_address: HostPort
+    platform: HostPort
+    seeds: tuple[HostPort, ...] = ()
+    flow_max_seconds: Seconds = 60.0
+    max_flows: Annotated[int, Meta(ge=1, le=10_000_000)] = 50_000
+    log_level: str = "info"
+    silence: SilenceSettings = SilenceSettings()
+    placement: PlacementSettings = PlacementSettings()
+    servers: ListSettings = ListSettings()
+    reads: ReadSettings = ReadSettings()
+    stop: StopSettings = StopSettings()
--- /dev/null
+++ b/marjoramford/http_services.py
@@ -0,0 +1,101 @@
+"""A small HTTP/1.1 server for readiness, metrics and state: h11 on asyncio streams."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from .addresses import Address
+
+logger = logging.getLogger(__name__)
+
+READ_BYTES = 65_536
+MAX_BODY_BYTES = 1_048_576
+# A connection without a request for this long is closed, in seconds; above the probes' interval.
+IDLE_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request with its whole body."""
+
+    method: str
+    target: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """What to answer."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+
+
+Handler = Callable[[HttpRequest], HttpAnswer]
+
+
+async def serve_http(address: Address, handler: Handler) -> asyncio.Server:
+    """Serves requests by `handler`, which must not block."""
+
+    async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await _serve_requests(reader, writer, handler)
+        except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
+            logger.debug("connection to %s ended: %r", address, error)
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(
+        serve_connection, address.host, address.port, limit=READ_BYTES
+    )
+
+
+async def _serve_requests(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
+) -> None:
+    connection = h11.Connection(h11.SERVER)
+    while True:
+        request = await _read_request(connection, reader)
+        if request is None:
+            return
+        answer = handler(request)
+        headers = [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        writer.write(
+            connection.send(h11.Response(status_code=answer.status, headers=headers))
+            + connection.send(h11.Data(answer.body))
+            + connection.send(h11.EndOfMessage())
+        )
+        await writer.drain()
+        if connection.our_state is h11.MUST_CLOSE:
+            return
+        connection.start_next_cycle()
+
+
+async def _read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> HttpRequest | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        match event:
+            case h11.Request():
+                head = event
+            case h11.Data():
+                body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    raise OSError("request is too long")
+            case h11.EndOfMessage():
+                return HttpRequest(head.method.decode(), head.target.decode(), body)
+            case _ if event is h11.NEED_DATA:
+                async with asyncio.timeout(IDLE_SECONDS):
+                    connection.receive_data(await reader.read(READ_BYTES))
+            case _:
+                return None
--- a/marjoramford/logs.py
+++ b/marjoramford/logs.py
@@ -3,6 +3,7 @@
 import logging
 import time
 from enum import IntEnum
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -33,12 +34,25 @@
     HANDOVER_SENT = 403
     HANDOVER_ADOPTED = 404
     HANDOVER_FAILED = 405
+    ROUTES_APPLIED = 305
+    SETTINGS_RELOADED = 306
     SERVER_EJECTED = 500
     SERVER_LEAVING = 502
     SERVER_REPORT_DISTRUSTED = 503
     DISPATCH_FAILED = 504
+    SERVER_LISTED = 505
+    SERVER_UNLISTED = 506
+    SERVER_GONE = 507
+    SERVER_SILENT = 508
+    SERVER_ANSWERS = 509
     REQUEST_REFUSED = 600
     REQUEST_UNKNOWN = 601
+    FLOW_PLACED = 610
+    FLOW_MOVED = 611
+    FLOW_RESET = 612
+    FLOW_DROPPED = 613
+    FLOW_ADOPTED = 614
+    EVIDENCE_VOID = 615
     INVARIANT_VIOLATED = 900
     TASK_FAILED = 901
 
@@ -100,9 +114,9 @@
         logger.log(level, event.name.lower().replace("_", " "), extra=extra)
 
 
-def configure_logging(style: str, level: str) -> None:
-    """Sends the package's log to standard error in `style` (``plain`` or ``json``)."""
-    handler = logging.StreamHandler()
+def configure_logging(style: str, level: str, stream: TextIO | None = None) -> None:
+    """Sends the package's log to `stream` (standard error) in `style`, ``plain`` or ``json``."""
+    handler = logging.StreamHandler(stream)
     handler.addFilter(RateLimit())
     handler.setFormatter(JsonFormatter("%(asctime)s") if style == "json" else PlainFormatter())
     package = logging.getLogger(__package__)
--- /dev/null
+++ b/marjoramford/packet_daemons.py
@@ -0,0 +1,213 @@
+"""Wiring of an entry VM for opaque flows: tasks, sockets and the planned stop."""
+
+import asyncio
+import logging
+import signal
+import socket
+import time
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Protocol
+
+import msgspec
+
+from .addresses import Address
+from .errors import StepError
+from .flow_balancers import FlowBalancer
+from .flow_settings import PacketVmSettings
+from .http_services import HttpAnswer, HttpRequest, serve_http
+from .logs import LogEvent, log_event
+from .packets import Forward, PacketCodec, ResetFlow
+
+logger = logging.getLogger(__name__)
+
+MAX_DATAGRAM_BYTES = 2048
+# Datagrams handled before other tasks get their turn.
+BATCH_DATAGRAMS = 64
+TICK_SECONDS = 0.1
+RECEIVE_BUFFER_BYTES = 1_048_576
+
+
+class PlatformReader(Protocol):
+    """Keeps routes and servers up to date; an adapter provides it."""
+
+    async def run(self) -> None:
+        """Reads until cancelled."""
+
+
+class PacketSocket:
+    """Owns the UDP socket towards the fabric and the backend servers."""
+
+    def __init__(self, balancer: FlowBalancer, codec: PacketCodec, address: Address):
+        self._balancer = balancer
+        self._codec = codec
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.bind((address.host, address.port))
+        self.last_packet_at = time.monotonic()
+
+    def open(self) -> None:
+        """Starts receiving."""
+        asyncio.get_running_loop().add_reader(self._socket.fileno(), self._receive)
+
+    def close(self) -> None:
+        """Stops receiving."""
+        asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def send_resets(self, now: float) -> None:
+        """Lets time pass for the balancer and sends the resets that it asks for."""
+        for reset in self._balancer.tick(now):
+            self._send(*self._codec.encode_reset(reset.flow, reset.acknowledged))
+
+    def _receive(self) -> None:
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self._balancer.counters["receive_failed"] += 1
+                logger.debug("receiving failed: %r", error)
+                return
+            self._handle(datagram)
+
+    def _handle(self, datagram: bytes) -> None:
+        head = self._codec.decode(datagram)
+        if head is None:
+            self._balancer.counters["datagram_malformed"] += 1
+            log_event(logger, LogEvent.DATAGRAM_DROPPED, bytes=len(datagram))
+            return
+        now = time.monotonic()
+        self.last_packet_at = now
+        match self._balancer.take_packet(head, now):
+            case Forward() as forward:
+                payload = self._codec.encode_forwarded(datagram, forward)
+                self._send(payload, forward.server.data_address)
+            case ResetFlow():
+                self._send(*self._codec.encode_reset(head.flow, head.acknowledged))
+
+    def _send(self, payload: bytes, address: Address) -> None:
+        try:
+            self._socket.sendto(payload, (address.host, address.port))
+        except OSError as error:
+            self._balancer.counters["send_failed"] += 1
+            logger.debug("sending to %s failed: %r", address, error)
+
+
+class PacketVm:
+    """One entry VM for opaque flows.
+
+    Args:
+        codec: translates datagrams.
+        make_reader: makes the task that reads the platform into the balancer.
+        reload_settings: reads the settings file again.
+    """
+
+    def __init__(
+        self,
+        settings: PacketVmSettings,
+        codec: PacketCodec,
+        make_reader: Callable[[PacketVmSettings, FlowBalancer], PlatformReader],
+        reload_settings: Callable[[], PacketVmSettings],
+    ):
+        self._settings = settings
+        self._codec = codec
+        self._reload_settings = reload_settings
+        self.balancer = FlowBalancer(settings, Random(), time.monotonic())
+        self._reader = make_reader(settings, self.balancer)
+        self._stopping = asyncio.Event()
+        self._failed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serves until a planned stop is complete."""
+        settings = self._settings
+        packets = PacketSocket(
+            self.balancer, self._codec, Address.parse(settings.packet_address)
+        )
+        self._install_signal_handlers()
+        packets.open()
+        servers = [
+            await serve_http(Address.parse(settings.ready_address), self._answer),
+            await serve_http(Address.parse(settings.control_address), self._answer),
+        ]
+        jobs = [self._reader.run(), self._run_timer(packets)]
+        tasks = [asyncio.create_task(self._guard(job)) for job in jobs]
+        log_event(
+            logger, LogEvent.ENTRY_VM_STARTED, entry_vm=settings.name, zone=settings.zone
+        )
+        try:
+            await self._stopping.wait()
+            await self._drain(packets)
+        finally:
+            for task in tasks:
+                task.cancel()
+            for server in servers:
+                server.close()
+            packets.close()
+            log_event(logger, LogEvent.ENTRY_VM_STOPPED, entry_vm=settings.name)
+
+    def _install_signal_handlers(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        try:
+            self._settings = self._reload_settings()
+        except (OSError, msgspec.MsgspecError) as error:
+            log_event(logger, LogEvent.SETTINGS_RELOADED, applied=False, error=error)
+            return
+        log_event(logger, LogEvent.SETTINGS_RELOADED, applied=True)
+
+    async def _drain(self, packets: PacketSocket) -> None:
+        """Forwards on, not ready, until the fabric sends nothing more."""
+        stop = self._settings.stop
+        started_at = time.monotonic()
+        deadline = started_at + 0.9 * stop.grace_seconds
+        log_event(logger, LogEvent.DRAIN_STARTED, flows=len(self.balancer.flows))
+        await asyncio.sleep(stop.unready_seconds)
+        while time.monotonic() < deadline and not self._failed.is_set():
+            quiet = time.monotonic() - packets.last_packet_at
+            if quiet >= stop.quiet_seconds:
+                break
+            await asyncio.sleep(stop.quiet_seconds - quiet + 0.01)
+        seconds = round(time.monotonic() - started_at, 2)
+        log_event(logger, LogEvent.DRAIN_FINISHED, seconds=seconds)
+
+    async def _run_timer(self, packets: PacketSocket) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            packets.send_resets(time.monotonic())
+
+    async def _guard(self, job: Coroutine) -> None:
+        """Stops the process, and says why, when a task fails that should not end."""
+        try:
+            await job
+        except Exception:
+            log_event(logger, LogEvent.TASK_FAILED, task=job.__qualname__)
+            logger.exception("task failed")
+            self._failed.set()
+            self._stopping.set()
+
+    def _answer(self, request: HttpRequest) -> HttpAnswer:
+        path = request.target.partition("?")[0]
+        match path:
+            case "/v1/ready":
+                ready = self.balancer.ready and not self._stopping.is_set()
+                return HttpAnswer(200 if ready else 503, b"{}")
+            case "/metrics":
+                # Imported at the first scrape: most processes are never scraped.
+                from .flow_metrics import render_flow_metrics
+
+                text = render_flow_metrics(self.balancer)
+                return HttpAnswer(200, text, "text/plain; version=0.0.4")
+            case "/v1/state":
+                return HttpAnswer(200, b"{}")
+        return HttpAnswer(404)
+
+
+def describe_error(error: StepError) -> dict[str, str]:
+    """Returns an error's parts as log fields."""
+    return {"step": error.step, "peer": error.peer, "reason": error.reason}
--- /dev/null
+++ b/marjoramford/placements.py
@@ -0,0 +1,57 @@
+"""Decisions on where a flow opens.
+
+Load patterns: steady load at half of the slots with work of tens of milliseconds, where a queue at
+one server beside an idle one makes requests late; a zone that is cut off while its callers stay;
+callers that move from one zone to another.
+"""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from .backend_servers import BackendServer
+from .choosers import lowest
+from .flow_settings import PlacementSettings
+
+
+def choose_for_opening(
+    servers: Iterable[BackendServer],
+    avoided: Sequence[BackendServer],
+    zone: str,
+    now: float,
+    settings: PlacementSettings,
+    random: Random,
+) -> BackendServer | None:
+    """Chooses the server at which a flow opens; None if no server takes flows.
+
+    Listed servers that answer go first, then listed ones in doubt, then those that left the list
+    a moment ago. A flow goes to another zone only if that server is less busy by a margin.
+
+    Args:
+        avoided: servers that did not answer this flow's opening packet.
+    """
+    usable = [server for server in servers if server.takes_work]
+    pool = _best_pool([server for server in usable if server not in avoided], now)
+    pool = pool or _best_pool(usable, now)
+    if not pool:
+        return None
+    scores = [_estimate_load(server, zone, now, settings) for server in pool]
+    return lowest(pool, scores, settings.tie_tolerance, random)
+
+
+def _best_pool(servers: list[BackendServer], now: float) -> list[BackendServer]:
+    listed = [server for server in servers if server.unlisted_since is None]
+    answering = [server for server in listed if server.responsiveness.doubted_until <= now]
+    return answering or listed or servers
+
+
+def _estimate_load(
+    server: BackendServer, zone: str, now: float, settings: PlacementSettings
+) -> float:
+    """Estimates the share of busy slots from this entry VM's own flows, with penalties."""
+    busy = server.in_progress + settings.open_flow_weight * server.open_flows
+    score = busy / max(1, server.slots)
+    if server.zone != zone:
+        score += settings.other_zone_penalty
+    if server.warm_at > now:
+        score += settings.cold_penalty
+    return score
--- /dev/null
+++ b/marjoramford/platform/entries.py
@@ -0,0 +1,123 @@
+"""Entries of the platform's store, decoded into the product's records and routes.
+
+Entries come from several writers: one that cannot be read names nothing to use, and the others
+hold.
+"""
+
+import socket
+from base64 import b64decode
+from binascii import Error as Base64Error
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from ..addresses import Address
+from ..records import VmRecord
+from ..routes import Route, RouteTable, WeightedService
+from .packets import server_number
+
+SERVER_PREFIX = "servers/"
+ROUTES_KEY = "op/config"
+
+
+class StoreItem(msgspec.Struct, frozen=True):
+    """An item, or the removal of one, at a revision of the store."""
+
+    key: str
+    revision: int
+    value: str = ""
+    tombstone: bool = False
+
+
+class _Server(msgspec.Struct, frozen=True):
+    """What a server says of itself."""
+
+    service: Annotated[str, Meta(min_length=1, max_length=64)]
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    slots: Annotated[int, Meta(ge=0, le=10_000)] = 0
+    # Milliseconds that the server stays slow, counted from when it wrote the entry.
+    warmup_left_ms: Annotated[float, Meta(ge=0)] = 0
+    # Unix milliseconds of its start; absent where a new start always brings a new id.
+    born: Annotated[int, Meta(ge=0)] = 0
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: Annotated[float, Meta(ge=0)]
+
+
+class _Route(msgspec.Struct, frozen=True):
+    # The public address.
+    host: str
+    # The public port between slashes, not a path.
+    prefix: str
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    priority: int = 0
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    idle_timeout_ms: Annotated[float, Meta(gt=0)] = 60_000
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    limits: _Limits = _Limits()
+
+
+def decode_server(item: StoreItem, now: float) -> Result[VmRecord, str]:
+    """Decodes a server's entry; `now` is on the steady clock, in seconds."""
+    name = item.key.removeprefix(SERVER_PREFIX)
+    try:
+        server_number(name)
+        entry = msgspec.json.decode(b64decode(item.value, validate=True), type=_Server)
+        address = Address.parse(entry.address)
+        socket.inet_aton(address.host)
+    except (ValueError, Base64Error, OSError) as error:
+        return Err(str(error))
+    warm_at = now + entry.warmup_left_ms / 1000 if entry.warmup_left_ms else 0.0
+    return Ok(
+        VmRecord(
+            name=name,
+            revision=item.revision,
+            incarnation=entry.born,
+            role="server",
+            zone=entry.zone,
+            host=address.host,
+            data_port=address.port,
+            http_port=address.port,
+            service=entry.service,
+            slots=entry.slots,
+            listed_at=warm_at,
+            state="leaving" if entry.state == "draining" else "live",
+        )
+    )
+
+
+def decode_routes(item: StoreItem) -> Result[RouteTable, str]:
+    """Decodes the operator's routes; a route that names no address or service is left out."""
+    try:
+        config = msgspec.json.decode(b64decode(item.value, validate=True), type=_Config)
+    except (ValueError, Base64Error) as error:
+        return Err(str(error))
+    routes = tuple(route for route in map(_decode_route, config.routes) if route is not None)
+    return Ok(RouteTable(config.version, routes, config.limits.idle_timeout_ms / 1000))
+
+
+def _decode_route(route: _Route) -> Route | None:
+    services = tuple(WeightedService(part.service, part.weight) for part in route.split)
+    if not services and route.service:
+        services = (WeightedService(route.service, 1.0),)
+    try:
+        ip = int.from_bytes(socket.inet_aton(route.host), "big")
+        port = int(route.prefix.strip("/"))
+    except (OSError, ValueError):
+        return None
+    if not any(service.weight > 0 for service in services):
+        return None
+    return Route(ip, port, services, route.priority)
--- /dev/null
+++ b/marjoramford/platform/packets.py
@@ -0,0 +1,83 @@
+"""The platform's packets: one datagram is a head of 36 bytes and up to 1,200 bytes of data."""
+
+from functools import lru_cache
+from struct import Struct
+
+from ..addresses import Address
+from ..packets import FlowKey, Forward, PacketHead, format_ip
+
+# Little-endian: dport, sport, src, dst, echo, flags, pad, seq, ack, len, sum. `echo` is the label.
+# On an opening packet `ack` counts the copies sent before it.
+HEAD = Struct("<HHIIIB5xIIHI")
+ECHO = Struct("<I")
+ECHO_OFFSET = 12
+FLAG_SYN = 1
+FLAG_FIN = 2
+FLAG_RST = 64
+MAX_DATA_BYTES = 1200
+SERVER_ID = Struct(">Q")
+SERVER_ID_MASK = 0xFFFF_FFFF_FFFF_FFFF
+
+
+class PlatformCodec:
+    """Translates datagrams of the fabric.
+
+    Args:
+        caller_port: UDP port at which callers receive resets.
+    """
+
+    def __init__(self, caller_port: int):
+        self._caller_port = caller_port
+
+    def decode(self, datagram: bytes) -> PacketHead | None:
+        """Reads a caller's packet; returns None if the datagram holds none."""
+        if len(datagram) < HEAD.size:
+            return None
+        route_port, caller_port, caller_ip, route_ip, label, flags, sequence, ack, size, _ = (
+            HEAD.unpack_from(datagram)
+        )
+        if len(datagram) != HEAD.size + size or size > MAX_DATA_BYTES:
+            return None
+        return PacketHead(
+            FlowKey(caller_ip, caller_port, route_ip, route_port),
+            label,
+            opens=bool(flags & FLAG_SYN),
+            closes=bool(flags & FLAG_FIN),
+            aborts=bool(flags & FLAG_RST),
+            sequence=sequence,
+            acknowledged=ack,
+            data_bytes=size,
+        )
+
+    def encode_forwarded(self, datagram: bytes, forward: Forward) -> bytes:
+        """Puts the intended server's number in front and the label into the packet."""
+        return b"".join(
+            (
+                server_number(forward.server.name),
+                datagram[:ECHO_OFFSET],
+                ECHO.pack(forward.label),
+                datagram[ECHO_OFFSET + ECHO.size :],
+            )
+        )
+
+    def encode_reset(self, flow: FlowKey, acknowledged: int) -> tuple[bytes, Address]:
+        """Returns a reset from the route's address to the caller's, and where to send it."""
+        reset = HEAD.pack(
+            flow.caller_port,
+            flow.route_port,
+            flow.route_ip,
+            flow.caller_ip,
+            0,
+            FLAG_RST,
+            acknowledged,
+            0,
+            0,
+            0,
+        )
+        return reset, Address(format_ip(flow.caller_ip), self._caller_port)
+
+
+@lru_cache(maxsize=4096)
+def server_number(name: str) -> bytes:
+    """Returns the 8 bytes that name the intended server: the hex digits of its id."""
+    return SERVER_ID.pack(int(name.rpartition("-")[2], 16) & SERVER_ID_MASK)
--- /dev/null
+++ b/marjoramford/silences.py
@@ -0,0 +1,88 @@
+"""Decisions on backend servers that do not answer.
+
+Load pattern: servers fall silent under steady load (power loss, a zone cut off) while the
+published list still shows them for seconds. Callers of their flows would send again until their
+deadlines, and new flows would open towards nothing. What one entry VM sees is the callers' half:
+packets sent again, and acknowledgements that move.
+"""
+
+from dataclasses import dataclass
+
+from .flow_settings import SilenceSettings
+
+
+@dataclass(slots=True)
+class Responsiveness:
+    """One entry VM's evidence that a server answers, over all flows to it.
+
+    Attributes:
+        answered_at: last sign of life, on the steady clock in seconds.
+        unanswered: packets that callers sent again since then.
+        silent_since: when the oldest of the packets sent again was first forwarded.
+        doubted_until: not chosen for new flows before this time, if others can be.
+    """
+
+    answered_at: float = float("-inf")
+    unanswered: int = 0
+    silent_since: float = float("inf")
+    doubted_until: float = float("-inf")
+
+    def note_answer(self, now: float) -> None:
+        """Notes a sign of life."""
+        self.answered_at = now
+        self.unanswered = 0
+        self.silent_since = float("inf")
+        self.doubted_until = float("-inf")
+
+    def note_unanswered(self, waiting_since: float, now: float, doubt_seconds: float) -> None:
+        """Notes a packet sent again whose first copy was forwarded at `waiting_since`."""
+        if waiting_since < self.answered_at:
+            return
+        self.unanswered += 1
+        self.silent_since = min(self.silent_since, waiting_since)
+        self.doubted_until = max(self.doubted_until, now + doubt_seconds)
+
+    def forgive(self) -> None:
+        """Drops evidence gathered while this entry VM itself stood still."""
+        self.unanswered = 0
+        self.silent_since = float("inf")
+        self.doubted_until = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What the published list says of a server.
+
+    Attributes:
+        unlisted_since: when its entry left the list; None while it is listed.
+        gone: whether the entry is missing for so long that it will not come back.
+    """
+
+    unlisted_since: float | None
+    gone: bool
+
+
+def is_dead(
+    server: Responsiveness,
+    standing: Standing,
+    flow_retransmissions: int,
+    now: float,
+    settings: SilenceSettings,
+) -> bool:
+    """Tells whether a flow's server is taken for dead, so that the flow may be reset.
+
+    A server that answers is alive, whatever the list says.
+
+    Args:
+        flow_retransmissions: packets of this flow sent again since its last answer.
+    """
+    unlisted_since = standing.unlisted_since
+    off_the_list = unlisted_since is not None and server.answered_at < unlisted_since
+    if standing.gone and off_the_list:
+        return True
+    if flow_retransmissions == 0 or server.unanswered == 0:
+        return False
+    silence = now - server.silent_since
+    if off_the_list:
+        return silence >= settings.unlisted_seconds
+    return silence >= settings.dead_seconds and server.unanswered >= settings.dead_retransmissions
