Entry VMs know each other and pass on routes and servers; the platform is read by a few of a zone

Found by tests that failed first: an answer of the incarnation before kept a restarted server's flows forwarded; a flow settled at its first server forgot the second. Ruled out: relaying the store's own items (the product would know the platform's names).

--- a/marjoramford/errors.py
+++ b/marjoramford/errors.py
@@ -16,6 +16,7 @@
     PROBE_SERVER = "probe server"
     DISPATCH = "dispatch"
     GOSSIP = "gossip"
+    FOLLOW = "follow"
     HAND_OVER = "hand over"
     OPERATE = "operate"
 
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -24,6 +24,9 @@
 logger = logging.getLogger(__name__)
 
 SWEEP_SECONDS = 1.0
+# How long a flow is remembered after its caller's last packet, in seconds; several of the
+# longest pauses between retransmissions.
+CLOSED_FLOW_SECONDS = 5.0
 # Upper bounds of the latency histograms, in seconds; around the callers' targets.
 LATENCY_BOUNDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0)
 
@@ -190,8 +193,11 @@
             self._end_flow(flow)
             self._log_reset(flow, "server is dead", now)
             return ResetFlow("server is dead")
-        if head.closes or head.aborts:
-            self._close_flow(flow, head)
+        if head.aborts:
+            self._end_flow(flow)
+        elif head.closes and not flow.closing:
+            flow.closing = True
+            server.open_flows -= 1
         return Forward(server, flow.label)
 
     def _adopt_flow(self, head: PacketHead, now: float) -> PacketFlow | None:
@@ -218,6 +224,7 @@
         if server is None or server not in flow.tried:
             return
         self._end_flow(flow)
+        flow.tried = (*flow.tried, flow.server)
         flow.server = server
         flow.label = head.label
         self._add_flow(flow)
@@ -275,16 +282,12 @@
             self._discount(flow)
 
     def _discount(self, flow: PacketFlow) -> None:
-        flow.server.open_flows -= 1
+        if not flow.closing:
+            flow.server.open_flows -= 1
         if flow.counted:
             flow.counted = False
             flow.server.in_progress -= 1
 
-    def _close_flow(self, flow: PacketFlow, head: PacketHead) -> None:
-        """Stops counting a flow whose caller is done; a few packets may follow."""
-        if head.aborts or flow.waiting_since is None:
-            self._end_flow(flow)
-
     def _reset_flows_of_dead_servers(self, now: float) -> list[FlowReset]:
         resets = []
         for flow in list(self._flows):
@@ -305,7 +308,8 @@
         longest = self._settings.flow_max_seconds
         idle = min(longest, self._routes.idle_timeout if self._routes else longest)
         for flow in list(self._flows):
-            if now - flow.active_at > idle or now - flow.opened_at > longest:
+            limit = CLOSED_FLOW_SECONDS if flow.closing else idle
+            if now - flow.active_at > limit or now - flow.opened_at > longest:
                 self._end_flow(flow)
         for label, first_seen in list(self._unknown_labels.items()):
             if now - first_seen > longest:
--- /dev/null
+++ b/marjoramford/flow_dumps.py
@@ -0,0 +1,53 @@
+"""A dump of an entry VM's state for opaque flows, as JSON."""
+
+import time
+
+import msgspec
+
+from .backend_servers import BackendServer
+from .flow_balancers import FlowBalancer
+from .peer_groups import PeerGroup
+
+# Flows named in one dump; the number of all is given beside them.
+MAX_DUMPED_FLOWS = 200
+
+
+def dump_state(balancer: FlowBalancer, group: PeerGroup) -> bytes:
+    """Returns what this entry VM believes, for an operator."""
+    now = time.monotonic()
+    routes = balancer.routes
+    dump = {
+        "ready": balancer.ready,
+        "routes_version": routes.version if routes else None,
+        "list_revision": balancer.list.revision,
+        "list_age_seconds": round(now - balancer.list.confirmed_at, 3),
+        "backend_servers": [
+            _describe_server(server, now) for server in balancer.list.servers.values()
+        ],
+        "entry_vms": [vm.news() for vm in group.entry_vms.others()],
+        "platform_failures": group.platform_failures,
+        "flow_count": len(balancer.flows),
+        "flows": [
+            {"flow": str(flow.key), "server": flow.server.name, "opening": flow.opening}
+            for flow in list(balancer.flows)[:MAX_DUMPED_FLOWS]
+        ],
+        "counters": dict(balancer.counters),
+    }
+    return msgspec.json.encode(dump)
+
+
+def _describe_server(server: BackendServer, now: float) -> dict[str, object]:
+    evidence = server.responsiveness
+    unlisted = server.unlisted_since
+    return {
+        "name": server.name,
+        "service": server.service,
+        "zone": server.zone,
+        "leaving": server.leaving,
+        "gone": server.gone,
+        "unlisted_seconds": None if unlisted is None else round(now - unlisted, 3),
+        "in_progress": server.in_progress,
+        "open_flows": server.open_flows,
+        "unanswered": evidence.unanswered,
+        "doubted": evidence.doubted_until > now,
+    }
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -74,16 +74,51 @@
     """How the platform is read.
 
     Attributes:
-        watch_seconds: how long a watch waits, in seconds; bounds the time until a connection
-            that has gone silent is noticed.
         timeout: for an answer beyond the wait, in seconds.
         settle_seconds: pause after changes, so that those that come close together cost one call.
-        retry_seconds: first pause after a failure; doubles up to `max_retry_seconds`.
     """
 
-    watch_seconds: Seconds = 2.5
     timeout: Seconds = 1.0
     settle_seconds: Seconds = 0.2
+
+
+class PeerSettings(_Section):
+    """Other entry VMs, and who reads the platform.
+
+    Attributes:
+        exchange_seconds: between two exchanges of news.
+        join_seconds: the same while no other entry VM is known.
+        suspicion_seconds: a suspect is taken for lost after this time.
+        timeout: for an answer beyond the wait.
+        max_news: entry VMs named in one exchange.
+        far_share: exchanges with other zones.
+        all_read_up_to: in a zone of so few entry VMs each reads the platform itself.
+        min_readers: readers in a larger zone; more by half the root of its size.
+        all_read_wait: wait of a watch in a small zone; bounds the time until a connection that
+            has gone silent is noticed.
+        reader_wait: the same for a reader; bounds the age of what its followers get.
+        follower_wait: how long a follower's question waits at the reader.
+        max_state_age: a reader whose state is older is not followed.
+        avoid_seconds: a peer that failed is not followed for this time.
+        helper_pause: between questions to peers while the platform does not answer.
+        retry_seconds: first pause after a failed read of the platform; doubles up to
+            `max_retry_seconds`.
+    """
+
+    exchange_seconds: Seconds = 2.0
+    join_seconds: Seconds = 0.5
+    suspicion_seconds: Seconds = 3.0
+    timeout: Seconds = 0.6
+    max_news: Annotated[int, Meta(ge=1, le=10_000)] = 64
+    far_share: Annotated[float, Meta(ge=0, le=1)] = 0.2
+    all_read_up_to: Annotated[int, Meta(ge=0, le=10_000)] = 4
+    min_readers: Annotated[int, Meta(ge=1, le=1000)] = 2
+    all_read_wait: Seconds = 2.5
+    reader_wait: Seconds = 1.0
+    follower_wait: Seconds = 1.0
+    max_state_age: Seconds = 2.0
+    avoid_seconds: Seconds = 2.0
+    helper_pause: Seconds = 0.25
     retry_seconds: Seconds = 0.25
     max_retry_seconds: Seconds = 1.0
 
@@ -130,4 +165,5 @@
     placement: PlacementSettings = PlacementSettings()
     servers: ListSettings = ListSettings()
     reads: ReadSettings = ReadSettings()
+    peers: PeerSettings = PeerSettings()
     stop: StopSettings = StopSettings()
--- a/marjoramford/http_services.py
+++ b/marjoramford/http_services.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import h11
@@ -35,11 +35,11 @@
     content_type: str = "application/json"
 
 
-Handler = Callable[[HttpRequest], HttpAnswer]
+Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
 
 
 async def serve_http(address: Address, handler: Handler) -> asyncio.Server:
-    """Serves requests by `handler`, which must not block."""
+    """Serves requests by `handler`."""
 
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -62,7 +62,7 @@
         request = await _read_request(connection, reader)
         if request is None:
             return
-        answer = handler(request)
+        answer = await handler(request)
         headers = [
             ("Content-Type", answer.content_type),
             ("Content-Length", str(len(answer.body))),
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -7,17 +7,20 @@
 import time
 from collections.abc import Callable, Coroutine
 from random import Random
-from typing import Protocol
+from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
 from .addresses import Address
-from .errors import StepError
+from .entry_vms import EntryVm
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_services import HttpAnswer, HttpRequest, serve_http
 from .logs import LogEvent, log_event
 from .packets import Forward, PacketCodec, ResetFlow
+from .peer_groups import PeerGroup
+from .published_states import StatePublisher
+from .state_readers import MemberExchange, PlatformReader, StateReader, hear_members
 
 logger = logging.getLogger(__name__)
 
@@ -25,16 +28,11 @@
 # Datagrams handled before other tasks get their turn.
 BATCH_DATAGRAMS = 64
 TICK_SECONDS = 0.1
+# Longest wait of a follower's question, in seconds; below the server's idle time.
+MAX_FOLLOWER_WAIT = 20.0
 RECEIVE_BUFFER_BYTES = 1_048_576
 
 
-class PlatformReader(Protocol):
-    """Keeps routes and servers up to date; an adapter provides it."""
-
-    async def run(self) -> None:
-        """Reads until cancelled."""
-
-
 class PacketSocket:
     """Owns the UDP socket towards the fabric and the backend servers."""
 
@@ -115,7 +113,22 @@
         self._codec = codec
         self._reload_settings = reload_settings
         self.balancer = FlowBalancer(settings, Random(), time.monotonic())
-        self._reader = make_reader(settings, self.balancer)
+        self._random = Random()
+        self._publisher = StatePublisher(self.balancer)
+        self._group = PeerGroup(
+            _describe_own(settings),
+            [Address.parse(seed) for seed in settings.seeds],
+            settings.peers,
+            self._random,
+        )
+        self._exchange = MemberExchange(settings, self._group)
+        self._reader = StateReader(
+            settings,
+            self.balancer,
+            self._group,
+            make_reader(settings, self.balancer),
+            self._publisher,
+        )
         self._stopping = asyncio.Event()
         self._failed = asyncio.Event()
 
@@ -129,7 +142,7 @@
             await serve_http(Address.parse(settings.ready_address), self._answer),
             await serve_http(Address.parse(settings.control_address), self._answer),
         ]
-        jobs = [self._reader.run(), self._run_timer(packets)]
+        jobs = [self._reader.run(), self._exchange.run(), self._run_timer(packets)]
         tasks = [asyncio.create_task(self._guard(job)) for job in jobs]
         log_event(
             logger,
@@ -168,6 +181,8 @@
         started_at = time.monotonic()
         deadline = started_at + 0.9 * stop.grace_seconds
         log_event(logger, LogEvent.DRAIN_STARTED, flows=len(self.balancer.flows))
+        self._group.entry_vms.own.state = "leaving"
+        await self._exchange.exchange_once()
         await asyncio.sleep(stop.unready_seconds)
         while time.monotonic() < deadline and not self._failed.is_set():
             quiet = time.monotonic() - packets.last_packet_at
@@ -192,12 +207,18 @@
             self._failed.set()
             self._stopping.set()
 
-    def _answer(self, request: HttpRequest) -> HttpAnswer:
-        path = request.target.partition("?")[0]
-        match path:
+    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+        parts = urlsplit(request.target)
+        match parts.path:
             case "/v1/ready":
                 ready = self.balancer.ready and not self._stopping.is_set()
                 return HttpAnswer(200 if ready else 503, b"{}")
+            case "/v1/published":
+                return await self._answer_follower(parse_qs(parts.query))
+            case "/v1/members" if request.method == "POST":
+                if not hear_members(self._group, request.body):
+                    return HttpAnswer(400)
+                return HttpAnswer(200, msgspec.json.encode(self._group.news()))
             case "/metrics":
                 # Imported at the first scrape: most processes are never scraped.
                 from .flow_metrics import render_flow_metrics
@@ -205,10 +226,22 @@
                 text = render_flow_metrics(self.balancer)
                 return HttpAnswer(200, text, "text/plain; version=0.0.4")
             case "/v1/state":
-                return HttpAnswer(200, b"{}")
-        return HttpAnswer(404)
+                from .flow_dumps import dump_state
 
+                return HttpAnswer(200, dump_state(self.balancer, self._group))
+        return HttpAnswer(404)
 
-def describe_error(error: StepError) -> dict[str, str]:
-    """Returns an error's parts as log fields."""
-    return {"step": error.step, "peer": error.peer, "reason": error.reason}
+    async def _answer_follower(self, query: dict[str, list[str]]) -> HttpAnswer:
+        try:
+            revision = int(query["after"][0])
+            version = int(query["routes"][0])
+            wait = min(float(query["wait"][0]), MAX_FOLLOWER_WAIT)
+        except (KeyError, ValueError):
+            return HttpAnswer(400)
+        return HttpAnswer(200, await self._publisher.answer(revision, version, wait))
+
+
+def _describe_own(settings: PacketVmSettings) -> EntryVm:
+    """Returns this start of the entry VM as others see it."""
+    address = Address.parse(settings.control_address)
+    return EntryVm(settings.name, int(time.time() * 1000), settings.zone, address, address)
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -38,6 +38,7 @@
         retransmissions: rounds in which the oldest data was sent again since the last sign of
             the server.
         counted: whether it counts as a request in progress at its server.
+        closing: whether the caller has said that it sends nothing more.
         window_start: the caller has certainly sent nothing before this without an answer.
         newest_at: when data not seen before came last.
         round_at: when the newest round of retransmissions began.
@@ -64,6 +65,7 @@
     previous_oldest: int = 0
     round_counted: bool = False
     counted: bool = False
+    closing: bool = False
     first_sequence: int | None = None
 
     def knows_label(self, label: int) -> bool:
--- /dev/null
+++ b/marjoramford/peer_groups.py
@@ -0,0 +1,159 @@
+"""Decisions on which entry VMs read the platform and which follow another one.
+
+Load pattern: hundreds of entry VMs that would each watch the platform, whose calls are limited
+over all of them; and a platform that turns some machines away while it serves others. A few entry
+VMs of an availability zone read the platform; the others take its state from them.
+"""
+
+import logging
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from .addresses import Address
+from .entry_vms import EntryVm, EntryVms, MemberNews, rendezvous_order
+from .flow_settings import PeerSettings
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ReadPlatform:
+    """Read the platform; `wait` seconds for a change."""
+
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class FollowPeer:
+    """Take the state from another entry VM; `wait` seconds for a change."""
+
+    address: Address
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class PauseReading:
+    """Nothing can be asked before `until` (steady clock, seconds)."""
+
+    until: float
+
+
+Source = ReadPlatform | FollowPeer | PauseReading
+
+
+class PeerGroup:
+    """The entry VMs known here, and the choice of whom to read from.
+
+    Args:
+        own: this entry VM.
+        seeds: control addresses to ask while no other entry VM is known.
+        settings: limits and times.
+        random: draws partners.
+    """
+
+    def __init__(
+        self, own: EntryVm, seeds: Sequence[Address], settings: PeerSettings, random: Random
+    ):
+        self._settings = settings
+        self._random = random
+        self._seeds = [seed for seed in seeds if seed != own.control_address]
+        self._avoided_until: dict[Address, float] = {}
+        self._platform_failures = 0
+        self._platform_retry_at = float("-inf")
+        self.entry_vms = EntryVms(own, settings.suspicion_seconds)
+
+    @property
+    def platform_failures(self) -> int:
+        """How many reads of the platform failed in a row."""
+        return self._platform_failures
+
+    def news(self) -> tuple[MemberNews, ...]:
+        """Returns what is known, for another entry VM: this one first, then its zone."""
+        own = self.entry_vms.own
+        others = sorted(self.entry_vms.others(), key=lambda vm: vm.zone != own.zone)
+        return tuple(vm.news() for vm in [own, *others][: self._settings.max_news])
+
+    def hear(self, news: Sequence[MemberNews]) -> None:
+        """Takes what another entry VM knows."""
+        own = self.entry_vms.own
+        for member in news:
+            if member.name == own.name and member.incarnation > own.incarnation:
+                # The clock was set back between two starts of this entry VM.
+                own.incarnation = member.incarnation + 1
+            self.entry_vms.hear(member)
+
+    def draw_partner(self) -> tuple[Address, EntryVm | None] | None:
+        """Draws whom to exchange news with: mostly the own zone, at times a seed or another."""
+        reachable = self.entry_vms.reachable()
+        near = [vm for vm in reachable if vm.zone == self.entry_vms.own.zone]
+        far_turn = self._random.random() < self._settings.far_share
+        pool = near if near and not far_turn else reachable
+        if pool and not (far_turn and self._seeds and self._random.random() < 0.5):
+            partner = self._random.choice(pool)
+            return partner.control_address, partner
+        if self._seeds:
+            return self._random.choice(self._seeds), None
+        return None
+
+    def note_partner(self, partner: EntryVm | None, answered: bool, now: float) -> None:
+        """Notes whether a partner answered."""
+        if partner is None:
+            return
+        if answered:
+            self.entry_vms.confirm(partner.name, partner.incarnation)
+        else:
+            self.entry_vms.suspect(partner.name, partner.incarnation, now)
+
+    def choose_source(self, now: float) -> Source:
+        """Decides where the state is read next."""
+        if self._platform_failures and now < self._platform_retry_at:
+            helper = self._choose_helper(now)
+            if helper is not None:
+                return FollowPeer(helper, 0.0)
+            return PauseReading(self._platform_retry_at)
+        readers = self._readers()
+        if readers is None:
+            return ReadPlatform(self._settings.all_read_wait)
+        if self.entry_vms.own.name in readers:
+            return ReadPlatform(self._settings.reader_wait)
+        for name in rendezvous_order(self.entry_vms.own.name, readers):
+            address = self.entry_vms.get(name).control_address
+            if self._avoided_until.get(address, 0.0) <= now:
+                return FollowPeer(address, self._settings.follower_wait)
+        return ReadPlatform(self._settings.reader_wait)
+
+    def note_platform(self, answered: bool, now: float) -> None:
+        """Notes whether the platform answered; after a failure it is left alone for a while."""
+        if answered:
+            self._platform_failures = 0
+            return
+        self._platform_failures += 1
+        settings = self._settings
+        doubled = settings.retry_seconds * 2 ** min(self._platform_failures - 1, 16)
+        pause = min(settings.max_retry_seconds, doubled)
+        self._platform_retry_at = now + pause * self._random.uniform(0.5, 1.0)
+
+    def note_followed(self, address: Address, state_age: float | None, now: float) -> None:
+        """Notes a peer's answer by the age of its state in seconds; None if it did not answer."""
+        if state_age is None or state_age > self._settings.max_state_age:
+            self._avoided_until[address] = now + self._settings.avoid_seconds
+
+    def _readers(self) -> list[str] | None:
+        """Returns the names of the zone's readers; None if every entry VM reads for itself."""
+        own = self.entry_vms.own
+        names = [vm.name for vm in self.entry_vms.active() if vm.zone == own.zone]
+        if own.state == "alive":
+            names.append(own.name)
+        if len(names) <= self._settings.all_read_up_to:
+            return None
+        count = max(self._settings.min_readers, math.isqrt(len(names)) // 2)
+        return rendezvous_order("reader", names)[:count]
+
+    def _choose_helper(self, now: float) -> Address | None:
+        """Chooses any entry VM that may know more while the platform does not answer here."""
+        reachable = [vm.control_address for vm in self.entry_vms.reachable()]
+        addresses = reachable or self._seeds
+        usable = [a for a in addresses if self._avoided_until.get(a, 0.0) <= now]
+        return self._random.choice(usable) if usable else None
--- /dev/null
+++ b/marjoramford/published_states.py
@@ -0,0 +1,109 @@
+"""Routes and servers as entry VMs pass them on to each other."""
+
+import asyncio
+import time
+
+import msgspec
+
+from .flow_balancers import FlowBalancer
+from .records import VmRecord
+from .routes import Route, RouteTable
+from .server_lists import ListChanges
+
+
+class PublishedRoutes(msgspec.Struct, frozen=True):
+    """A route table on the wire."""
+
+    version: int
+    idle_timeout: float
+    routes: tuple[Route, ...]
+
+
+class PublishedState(msgspec.Struct, frozen=True):
+    """What changed since the asker's state.
+
+    Attributes:
+        records: entries that were written; `listed_at` counts from now, in seconds.
+        removed: names of removed entries with the revision of the removal.
+        whole: whether `records` is the whole list.
+        age: seconds since the platform confirmed this state; None if it never did.
+        routes: the route table, if it is newer than the asker's.
+    """
+
+    records: tuple[VmRecord, ...]
+    removed: tuple[tuple[str, int], ...]
+    whole: bool
+    revision: int
+    age: float | None
+    routes: PublishedRoutes | None = None
+
+
+class StatePublisher:
+    """Answers other entry VMs, at once or as soon as something changes."""
+
+    def __init__(self, balancer: FlowBalancer):
+        self._balancer = balancer
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wakes those that wait for a change."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, revision: int, routes_version: int, wait: float) -> bytes:
+        """Returns the JSON of what changed after a revision and a version of the routes."""
+        deadline = time.monotonic() + wait
+        while not self._is_newer(revision, routes_version):
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                break
+            try:
+                async with asyncio.timeout(remaining):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        return msgspec.json.encode(self._describe(revision, routes_version))
+
+    def _is_newer(self, revision: int, routes_version: int) -> bool:
+        routes = self._balancer.routes
+        newer_routes = routes is not None and routes.version > routes_version
+        return newer_routes or self._balancer.list.revision > revision
+
+    def _describe(self, revision: int, routes_version: int) -> PublishedState:
+        now = time.monotonic()
+        balancer = self._balancer
+        changes = balancer.list.changes_since(revision)
+        confirmed_at = balancer.list.confirmed_at
+        table = balancer.routes
+        routes = None
+        if table is not None and table.version > routes_version:
+            routes = PublishedRoutes(table.version, table.idle_timeout, table.routes())
+        return PublishedState(
+            tuple(_shift(record, -now) for record in changes.records),
+            changes.removed,
+            changes.whole,
+            changes.revision,
+            now - confirmed_at if balancer.list.loaded else None,
+            routes,
+        )
+
+
+def apply_state(state: PublishedState, balancer: FlowBalancer, now: float) -> None:
+    """Takes another entry VM's state as far as it is newer."""
+    if state.routes is not None:
+        table = state.routes
+        balancer.take_routes(RouteTable(table.version, table.routes, table.idle_timeout))
+    if state.age is None:
+        return
+    records = tuple(_shift(record, now) for record in state.records)
+    changes = ListChanges(records, state.removed, state.whole, state.revision)
+    balancer.list.apply(changes, now)
+    if state.revision >= balancer.list.revision:
+        balancer.list.confirm(now - state.age)
+
+
+def _shift(record: VmRecord, seconds: float) -> VmRecord:
+    """Moves the end of a cold start between this process's clock and a time from now."""
+    if record.listed_at <= 0:
+        return record
+    return msgspec.structs.replace(record, listed_at=max(0.0, record.listed_at + seconds))
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -16,6 +16,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Removals remembered for readers that are behind; a reader further behind gets the whole list.
+MAX_REMOVALS = 1024
+
 
 @dataclass(frozen=True, slots=True)
 class GoneServer:
@@ -25,12 +28,34 @@
     forgotten_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class ListChanges:
+    """What changed on the list after a revision.
+
+    Attributes:
+        records: entries that were written.
+        removed: names of entries that were removed, each with the revision of its removal.
+        whole: whether `records` is the whole list, so that what is not in it has been removed.
+        revision: the list is complete up to here.
+    """
+
+    records: tuple[VmRecord, ...]
+    removed: tuple[tuple[str, int], ...]
+    whole: bool
+    revision: int
+
+
 class ServerList:
-    """Keeps the servers of all services in step with the published list."""
+    """Keeps the servers of all services in step with the published list.
+
+    Changes may come twice, late, and from several sources: an entry's revision never falls.
+    """
 
     def __init__(self, settings: ListSettings):
         self._settings = settings
         self._records: dict[str, VmRecord] = {}
+        self._removed: dict[str, int] = {}
+        self._removals_from = 0
         self._unlisted: dict[str, BackendServer] = {}
         self._gone: list[GoneServer] = []
         self.servers = BackendServers()
@@ -44,30 +69,42 @@
         """Whether a whole list was read once."""
         return self.revision > 0
 
-    def records(self) -> tuple[VmRecord, ...]:
-        """Returns the entries on the list."""
-        return tuple(self._records.values())
-
-    def replace(self, records: tuple[VmRecord, ...], revision: int, now: float) -> None:
-        """Takes a whole list, unless it is older than the one held."""
-        if revision < self.revision:
+    def changes_since(self, revision: int) -> ListChanges:
+        """Returns what changed after a revision; the whole list if that is not known."""
+        if not self._removals_from <= revision <= self.revision:
+            return ListChanges(tuple(self._records.values()), (), True, self.revision)
+        records = tuple(r for r in self._records.values() if r.revision > revision)
+        removed = tuple(item for item in self._removed.items() if item[1] > revision)
+        return ListChanges(records, removed, False, self.revision)
+
+    def apply(self, changes: ListChanges, now: float) -> None:
+        """Takes changes, unless this list is ahead of them."""
+        if changes.revision < self.revision:
             return
-        names = {record.name for record in records}
-        for record in records:
-            self.put(record, now)
-        for name in [name for name in self._records if name not in names]:
-            self.remove(name, now)
-        self.advance(revision, now)
-
-    def put(self, record: VmRecord, now: float) -> None:
-        """Takes one entry."""
+        for record in changes.records:
+            self._put(record, now)
+        for name, revision in changes.removed:
+            self._remove(name, revision, now)
+        if changes.whole:
+            names = {record.name for record in changes.records}
+            for name in [name for name in self._records if name not in names]:
+                self._remove(name, changes.revision, now)
+            self._removals_from = self._removals_from or changes.revision
+        self.revision = changes.revision
+
+    def _put(self, record: VmRecord, now: float) -> None:
         held_record = self._records.get(record.name)
-        if held_record is not None and record.revision < held_record.revision:
+        newest = held_record.revision if held_record else self._removed.get(record.name, 0)
+        if record.revision <= newest:
             return
         self._records[record.name] = record
+        self._removed.pop(record.name, None)
         held = self.servers.get(record.name)
         if held is not None and (held.gone or held.incarnation != record.incarnation):
+            # What answered was the incarnation before; nothing will answer for it any more.
+            held.responsiveness.answered_at = float("-inf")
             self._retire(held, "started again", now)
+            self.servers.forget(held)
             held = None
         self.servers.apply_record(record)
         server = self.servers.get(record.name)
@@ -90,21 +127,31 @@
             server.unlisted_since = None
             self._unlisted.pop(server.name, None)
 
-    def remove(self, name: str, now: float) -> None:
+    def _remove(self, name: str, revision: int, now: float) -> None:
         """Takes an entry off the list; its server is gone if the entry does not come back."""
-        self._records.pop(name, None)
+        record = self._records.get(name)
+        if record is None or record.revision > revision:
+            return
+        del self._records[name]
+        self._note_removal(name, revision)
         server = self.servers.get(name)
         if server is None or server.unlisted_since is not None or server.gone:
             return
         server.unlisted_since = now
         self._unlisted[name] = server
-        log_event(logger, LogEvent.SERVER_UNLISTED, server=name, revision=self.revision)
-
-    def advance(self, revision: int, now: float) -> None:
-        """Notes that the platform answered: the list is whole up to `revision`."""
-        self.revision = max(self.revision, revision)
-        self.confirmed_at = now
-        self._steady_since = min(self._steady_since, now)
+        log_event(logger, LogEvent.SERVER_UNLISTED, server=name, revision=revision)
+
+    def _note_removal(self, name: str, revision: int) -> None:
+        self._removed.pop(name, None)
+        self._removed[name] = revision
+        if len(self._removed) > MAX_REMOVALS:
+            oldest = next(iter(self._removed))
+            self._removals_from = max(self._removals_from, self._removed.pop(oldest))
+
+    def confirm(self, confirmed_at: float) -> None:
+        """Notes that the list was as the platform's at a time."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        self._steady_since = min(self._steady_since, confirmed_at)
 
     def note_unreachable(self) -> None:
         """Notes that the platform does not answer: missing entries prove nothing."""
--- /dev/null
+++ b/marjoramford/state_readers.py
@@ -0,0 +1,154 @@
+"""The task that keeps routes and servers up to date, and the one that knows the other entry VMs."""
+
+import asyncio
+import logging
+import time
+from typing import Protocol
+
+import msgspec
+from result import Err, Ok, Result
+
+from .addresses import Address
+from .entry_vms import MemberNews
+from .errors import Step, StepError
+from .flow_balancers import FlowBalancer
+from .flow_settings import PacketVmSettings
+from .http_calls import HttpClient, HttpReply
+from .logs import LogEvent, log_event
+from .peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
+from .published_states import PublishedState, StatePublisher, apply_state
+
+logger = logging.getLogger(__name__)
+
+
+class PlatformReader(Protocol):
+    """Reads the platform; an adapter provides it."""
+
+    async def read(self, wait: float) -> Result[bool, StepError]:
+        """Brings routes and servers up to date; tells whether anything changed."""
+
+
+class StateReader:
+    """Reads the platform, or follows another entry VM, as the group decides."""
+
+    def __init__(
+        self,
+        settings: PacketVmSettings,
+        balancer: FlowBalancer,
+        group: PeerGroup,
+        platform: PlatformReader,
+        publisher: StatePublisher,
+    ):
+        self._settings = settings
+        self._balancer = balancer
+        self._group = group
+        self._platform = platform
+        self._publisher = publisher
+        self._followed: Address | None = None
+        self._client: HttpClient | None = None
+
+    async def run(self) -> None:
+        """Reads until cancelled."""
+        while True:
+            now = time.monotonic()
+            match self._group.choose_source(now):
+                case ReadPlatform(wait=wait):
+                    await self._read_platform(wait)
+                case FollowPeer(address=address, wait=wait):
+                    await self._follow(address, wait)
+                case PauseReading(until=until):
+                    await asyncio.sleep(max(0.01, until - now))
+
+    async def _read_platform(self, wait: float) -> None:
+        result = await self._platform.read(wait)
+        failures = self._group.platform_failures
+        self._group.note_platform(result.is_ok(), time.monotonic())
+        match result:
+            case Ok(changed):
+                if failures:
+                    log_event(logger, LogEvent.PLATFORM_BACK, failures=failures)
+                if changed:
+                    self._publisher.notify()
+                    await asyncio.sleep(self._settings.reads.settle_seconds)
+            case Err(error):
+                self._balancer.list.note_unreachable()
+                if not failures:
+                    log_event(logger, LogEvent.PLATFORM_UNREACHABLE, error=error)
+
+    async def _follow(self, address: Address, wait: float) -> None:
+        if address != self._followed or self._client is None:
+            if self._client is not None:
+                self._client.close()
+            self._followed = address
+            self._client = HttpClient(address, Step.FOLLOW)
+            log_event(logger, LogEvent.PEER_FOLLOWED, peer=str(address))
+        server_list = self._balancer.list
+        routes = self._balancer.routes
+        target = (
+            f"/v1/published?after={server_list.revision}"
+            f"&routes={routes.version if routes else 0}&wait={wait}"
+        )
+        reply = await self._client.get(target, wait + self._settings.peers.timeout)
+        now = time.monotonic()
+        match reply:
+            case Ok(HttpReply(status=200, body=body)):
+                try:
+                    state = msgspec.json.decode(body, type=PublishedState)
+                except msgspec.MsgspecError as error:
+                    self._note_lost(address, StepError(Step.FOLLOW, str(address), str(error)))
+                    return
+                apply_state(state, self._balancer, now)
+                self._group.note_followed(address, state.age, now)
+                self._publisher.notify()
+                if not wait:
+                    await asyncio.sleep(self._settings.peers.helper_pause)
+            case Ok(HttpReply(status=status)):
+                self._note_lost(address, StepError(Step.FOLLOW, str(address), f"status {status}"))
+            case Err(error):
+                self._note_lost(address, error)
+
+    def _note_lost(self, address: Address, error: StepError) -> None:
+        self._group.note_followed(address, None, time.monotonic())
+        log_event(logger, LogEvent.PEER_LOST, error=error)
+
+
+class MemberExchange:
+    """Exchanges news of entry VMs with one of them at a time."""
+
+    def __init__(self, settings: PacketVmSettings, group: PeerGroup):
+        self._settings = settings
+        self._group = group
+
+    async def run(self) -> None:
+        """Exchanges until cancelled."""
+        while True:
+            await self.exchange_once()
+            known = len(self._group.entry_vms)
+            peers = self._settings.peers
+            await asyncio.sleep(peers.exchange_seconds if known else peers.join_seconds)
+
+    async def exchange_once(self) -> None:
+        """Tells one entry VM what is known here and takes what it knows."""
+        drawn = self._group.draw_partner()
+        if drawn is None:
+            return
+        address, partner = drawn
+        client = HttpClient(address, Step.GOSSIP)
+        body = msgspec.json.encode(self._group.news())
+        reply = await client.post("/v1/members", body, self._settings.peers.timeout)
+        client.close()
+        answered = reply.is_ok() and reply.ok_value.status == 200
+        self._group.note_partner(partner, answered, time.monotonic())
+        if answered:
+            hear_members(self._group, reply.ok_value.body)
+        self._group.entry_vms.expire_suspicions(time.monotonic())
+
+
+def hear_members(group: PeerGroup, body: bytes) -> bool:
+    """Takes news of entry VMs as JSON; tells whether it could be read."""
+    try:
+        group.hear(msgspec.json.decode(body, type=tuple[MemberNews, ...]))
+    except msgspec.MsgspecError as error:
+        log_event(logger, LogEvent.CONTROL_BODY_REJECTED, reason=str(error))
+        return False
+    return True
--- /dev/null
+++ b/tests/flow_worlds.py
@@ -0,0 +1,131 @@
+"""Builders of records, routes, packets and balancers for tests of opaque flows."""
+
+from random import Random
+
+from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.flow_labels import derive_label
+from marjoramford.flow_settings import PacketVmSettings
+from marjoramford.packets import FlowKey, PacketHead
+from marjoramford.records import VmRecord
+from marjoramford.routes import Route, RouteTable, WeightedService
+from marjoramford.server_lists import ListChanges
+
+ROUTE_IP = 0xC6120001
+ROUTE_PORT = 443
+START = 1000.0
+SETTINGS = PacketVmSettings(
+    name="front-1",
+    zone="a",
+    packet_address="127.0.0.1:1",
+    ready_address="127.0.0.1:2",
+    control_address="127.0.0.1:3",
+    platform="127.0.0.1:4",
+)
+
+
+def record(name="s-1", revision=1, zone="a", state="live", born=0, service="booking", **other):
+    return VmRecord(
+        name=name,
+        revision=revision,
+        incarnation=born,
+        role="server",
+        zone=zone,
+        host="127.0.0.9",
+        data_port=int(name.rpartition("-")[2], 16) % 60_000 + 1,
+        http_port=1,
+        service=service,
+        slots=2,
+        state=state,
+        **other,
+    )
+
+
+def route_table(version=1, service="booking", idle_timeout=15.0):
+    route = Route(ROUTE_IP, ROUTE_PORT, (WeightedService(service, 1.0),))
+    return RouteTable(version, (route,), idle_timeout)
+
+
+def whole_list(*records, revision=100):
+    return ListChanges(tuple(records), (), True, revision)
+
+
+def removal(name, revision):
+    return ListChanges((), ((name, revision),), False, revision)
+
+
+def written(entry):
+    return ListChanges((entry,), (), False, entry.revision)
+
+
+class FlowWorld:
+    """A balancer with a clock that tests move, and one caller after another."""
+
+    def __init__(self, *records, settings=SETTINGS, seed=1):
+        self.now = START
+        self.balancer = FlowBalancer(settings, Random(seed), self.now)
+        self.balancer.take_routes(route_table())
+        self.apply(whole_list(*records))
+        self._next_port = 1000
+
+    def apply(self, changes):
+        self.balancer.list.apply(changes, self.now)
+        self.balancer.list.confirm(self.now)
+
+    def pass_time(self, seconds):
+        """Moves the clock as the timer would, and returns the resets that ticks asked for."""
+        resets = []
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + 0.1)
+            resets += self.balancer.tick(self.now)
+        return resets
+
+    def caller(self):
+        self._next_port += 1
+        return Caller(self, FlowKey(0x64400007, self._next_port, ROUTE_IP, ROUTE_PORT))
+
+    def server(self, name):
+        return self.balancer.list.servers.get(name)
+
+
+class Caller:
+    """The caller's end of one flow."""
+
+    def __init__(self, world, key):
+        self.world = world
+        self.key = key
+        self.label = 0
+        self.sequence = 5000
+        self.acknowledged = 0
+
+    def send(self, opens=False, size=0, sequence=None, closes=False, aborts=False):
+        sequence = self.sequence if sequence is None else sequence
+        head = PacketHead(
+            self.key, self.label, opens, closes, aborts, sequence, self.acknowledged, size
+        )
+        return self.world.balancer.take_packet(head, self.world.now)
+
+    def open(self):
+        return self.send(opens=True)
+
+    def take_syn_ack(self, forward):
+        """The server's answer to the opening packet arrives, and is acknowledged."""
+        self.label = derive_label(forward.server.name, forward.server.incarnation)
+        self.sequence += 1
+        self.acknowledged = 9000
+        return self.send()
+
+    def established(self):
+        forward = self.open()
+        self.world.now += 0.005
+        self.take_syn_ack(forward)
+        return forward.server
+
+    def request(self, size=200):
+        action = self.send(size=size)
+        self.sequence += size
+        return action
+
+    def take_answer(self, size=600):
+        self.acknowledged += size
+        return self.send()
--- /dev/null
+++ b/tests/test_packet_flows.py
@@ -0,0 +1,73 @@
+"""Evidence of answers from the caller's half of a flow."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramford.packet_flows import PacketFlow, PacketFlowTable, sequence_distance
+from marjoramford.packets import FlowKey, PacketHead
+
+KEY = FlowKey(1, 2, 3, 4)
+DATA = 1200
+
+
+def flow():
+    made = PacketFlow(KEY, server=None, label=7, opening=False, opened_at=0.0, active_at=0.0)
+    made.start_at(head(100))
+    return made
+
+
+def head(sequence, size=0, acknowledged=50):
+    return PacketHead(KEY, 7, False, False, False, sequence, acknowledged, size)
+
+
+def test_an_acknowledgement_that_moves_is_an_answer():
+    subject = flow()
+    subject.note_packet(head(100, DATA), 1.0)
+    assert subject.waiting_since == 1.0
+    assert subject.note_packet(head(1300, acknowledged=51), 1.1)
+    assert subject.waiting_since is None
+
+
+def test_each_round_of_retransmissions_counts_once():
+    subject = flow()
+    for round_at in (1.0, 1.2, 1.6, 2.4):
+        for packet in range(16):
+            assert not subject.note_packet(head(100 + packet * DATA, DATA), round_at)
+    assert subject.retransmissions == 3
+
+
+def test_reordered_uploads_on_a_narrow_link_are_no_silence():
+    """Replays svb-gare-grown quiet-1 at 6.289 s: holes in an upload, each filled in its turn."""
+    subject = flow()
+    now = 1.0
+    for hole in range(8):
+        window = [100 + (hole * 8 + packet) * DATA for packet in range(16)]
+        for sequence in (window[1:8] + window[:1] + window[8:])[:15]:
+            subject.note_packet(head(sequence, DATA), now)
+            now += 0.002
+        now += 0.2
+        subject.note_packet(head(window[8], DATA), now)
+    assert subject.retransmissions < 2
+
+
+def test_data_beyond_the_window_proves_that_older_data_arrived():
+    subject = flow()
+    answers = [subject.note_packet(head(100 + n * DATA, DATA), 1.0 + n * 0.001) for n in range(40)]
+    assert not any(answers[:16])
+    assert all(answers[16:])
+
+
+@given(st.integers(0, 2**32 - 1), st.integers(-(2**31), 2**31 - 1))
+def test_sequence_numbers_wrap(start, distance):
+    assert sequence_distance((start + distance) % 2**32, start) == distance
+
+
+def test_a_full_table_evicts_the_oldest_flow():
+    table = PacketFlowTable(2)
+    flows = [flow() for _ in range(3)]
+    for number, each in enumerate(flows):
+        each.key = FlowKey(1, number, 3, 4)
+    assert table.add(flows[0]) is None
+    assert table.add(flows[1]) is None
+    assert table.add(flows[2]) is flows[0]
+    assert len(table) == 2
