--- /dev/null
+++ b/marjoramford/standins/packet_stores.py
@@ -0,0 +1,110 @@
+"""Stand-in for the platform's metadata store: items, ranges and watches over HTTP."""
+
+import asyncio
+import time
+from base64 import b64encode
+from collections import Counter
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from ..addresses import Address
+from ..http_services import HttpAnswer, HttpRequest, serve_http
+
+PAGE_ITEMS = 50
+
+
+class PacketStore:
+    """Holds items with one rising revision, and a history of changes that can be dropped."""
+
+    def __init__(self, page_items: int = PAGE_ITEMS):
+        self._page_items = page_items
+        self._items: dict[str, dict] = {}
+        self._history: list[dict] = []
+        self._history_from = 1
+        self._changed = asyncio.Event()
+        self.revision = 1
+        self.calls: Counter[str] = Counter()
+        self.down = False
+
+    def put(self, key: str, value: object) -> None:
+        """Writes an item; `value` is encoded as JSON unless it is bytes."""
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self.revision += 1
+        created = self._items.get(key, {}).get("create_revision", self.revision)
+        item = {
+            "key": key,
+            "value": b64encode(raw).decode(),
+            "revision": self.revision,
+            "create_revision": created,
+            "lease": 0,
+        }
+        self._items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        """Removes an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def drop_history(self) -> None:
+        """Forgets all changes so far and cuts the watches."""
+        self._history.clear()
+        self._history_from = self.revision + 1
+        self._wake()
+
+    async def serve(self, address: Address) -> asyncio.Server:
+        """Serves the store's calls."""
+        return await serve_http(address, self.answer)
+
+    async def answer(self, request: HttpRequest) -> HttpAnswer:
+        """Answers one call."""
+        parts = urlsplit(request.target)
+        self.calls[parts.path] += 1
+        if self.down:
+            return HttpAnswer(503)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        match parts.path:
+            case "/v1/kv-range":
+                return self._range(query)
+            case "/v1/kv-watch":
+                return await self._watch(query)
+        return HttpAnswer(404)
+
+    def _range(self, query: dict[str, str]) -> HttpAnswer:
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
+        page = [self._items[key] for key in keys[: self._page_items]]
+        more = len(keys) > self._page_items
+        body = {"items": page, "has_more": more, "as_of": self.revision}
+        return HttpAnswer(200, msgspec.json.encode(body))
+
+    async def _watch(self, query: dict[str, str]) -> HttpAnswer:
+        prefix, after = query.get("prefix", ""), int(query["after"])
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after + 1 < self._history_from:
+                return HttpAnswer(410)
+            events = [
+                event
+                for event in self._history
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            remaining = deadline - time.monotonic()
+            if events or remaining <= 0:
+                body = {"events": events, "as_of": self.revision}
+                return HttpAnswer(503 if self.down else 200, msgspec.json.encode(body))
+            try:
+                async with asyncio.timeout(remaining):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _note(self, event: dict) -> None:
+        self._history.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/tests/test_peer_groups.py
@@ -0,0 +1,108 @@
+"""Who reads the platform, who follows whom, and what happens when either fails."""
+
+from random import Random
+
+from marjoramford.addresses import Address
+from marjoramford.entry_vms import EntryVm
+from marjoramford.flow_settings import PeerSettings
+from marjoramford.peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
+
+NOW = 100.0
+SETTINGS = PeerSettings()
+
+
+def vm(number, zone="a"):
+    address = Address(f"127.0.0.{number}", 7000)
+    return EntryVm(f"front-{zone}-{number}", 1, zone, address, address)
+
+
+def group(own, others=(), seeds=()):
+    made = PeerGroup(own, seeds, SETTINGS, Random(1))
+    made.hear([other.news() for other in others])
+    return made
+
+
+def fleet(count, zone="a"):
+    vms = [vm(number, zone) for number in range(1, count + 1)]
+    return [group(own, [other for other in vms if other is not own]) for own in vms]
+
+
+def test_in_a_small_zone_every_entry_vm_reads_the_platform():
+    assert all(isinstance(g.choose_source(NOW), ReadPlatform) for g in fleet(4))
+
+
+def test_in_a_large_zone_a_few_read_and_the_others_follow_them():
+    groups = fleet(17)
+    readers = {
+        g.entry_vms.own.control_address
+        for g in groups
+        if isinstance(g.choose_source(NOW), ReadPlatform)
+    }
+    followed = {
+        g.choose_source(NOW).address for g in groups if isinstance(g.choose_source(NOW), FollowPeer)
+    }
+    assert len(readers) == SETTINGS.min_readers
+    assert followed == readers
+
+
+def test_readers_grow_slower_than_the_zone():
+    groups = fleet(200)
+    reading = sum(isinstance(g.choose_source(NOW), ReadPlatform) for g in groups)
+    assert reading == 7
+
+
+def test_a_follower_leaves_a_reader_that_fails_or_is_behind_for_the_next_and_then_the_platform():
+    subject = next(g for g in fleet(17) if isinstance(g.choose_source(NOW), FollowPeer))
+    first = subject.choose_source(NOW)
+    subject.note_followed(first.address, None, NOW)
+    second = subject.choose_source(NOW)
+    assert isinstance(second, FollowPeer)
+    assert second.address != first.address
+    subject.note_followed(second.address, SETTINGS.max_state_age + 0.1, NOW)
+    assert isinstance(subject.choose_source(NOW), ReadPlatform)
+    assert isinstance(subject.choose_source(NOW + SETTINGS.avoid_seconds), FollowPeer)
+
+
+def test_an_entry_vm_that_the_platform_turns_away_asks_others_between_its_tries():
+    subject = fleet(3)[0]
+    subject.note_platform(False, NOW)
+    assert isinstance(subject.choose_source(NOW + 0.01), FollowPeer)
+    assert isinstance(subject.choose_source(NOW + SETTINGS.retry_seconds), ReadPlatform)
+
+
+def test_the_first_of_all_waits_when_nobody_can_be_asked():
+    subject = group(vm(1))
+    subject.note_platform(False, NOW)
+    source = subject.choose_source(NOW)
+    assert isinstance(source, PauseReading)
+    assert isinstance(subject.choose_source(source.until), ReadPlatform)
+
+
+def test_pauses_grow_up_to_a_limit():
+    subject = group(vm(1))
+    for _ in range(50):
+        subject.note_platform(False, NOW)
+    assert 0 < subject.choose_source(NOW).until - NOW <= SETTINGS.max_retry_seconds
+
+
+def test_seeds_are_asked_while_nobody_is_known():
+    own, seed = vm(1), Address("127.0.0.8", 7000)
+    assert group(own, seeds=[seed, own.control_address]).draw_partner() == (seed, None)
+
+
+def test_a_dead_reader_is_replaced():
+    subject = next(g for g in fleet(17) if isinstance(g.choose_source(NOW), FollowPeer))
+    address = subject.choose_source(NOW).address
+    dead = next(vm for vm in subject.entry_vms.others() if vm.control_address == address)
+    subject.note_partner(dead, False, NOW)
+    subject.entry_vms.expire_suspicions(NOW + SETTINGS.suspicion_seconds)
+    source = subject.choose_source(NOW + 5.0)
+    assert getattr(source, "address", None) != address
+
+
+def test_an_entry_vm_whose_clock_was_set_back_outlives_its_earlier_start():
+    subject = group(vm(1))
+    earlier = vm(1)
+    earlier.incarnation = 50
+    subject.hear([earlier.news()])
+    assert subject.entry_vms.own.incarnation == 51
--- /dev/null
+++ b/tests/test_server_lists.py
@@ -0,0 +1,104 @@
+"""The published list: removals, returns, and changes from several sources."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramford.flow_settings import ListSettings
+from marjoramford.server_lists import MAX_REMOVALS, ServerList
+
+from .flow_worlds import START, record, removal, whole_list, written
+
+
+def make_list(*records):
+    made = ServerList(ListSettings())
+    made.apply(whole_list(*records), START)
+    made.confirm(START)
+    return made
+
+
+def test_entries_that_lapse_while_the_store_is_away_name_living_servers():
+    """Replays a store that is down for 6 s while leases run out, and comes back at 10 s."""
+    subject = make_list(record("s-1"))
+    subject.note_unreachable()
+    subject.apply(removal("s-1", 101), START + 9.0)
+    subject.expire(START + 9.9)
+    assert not subject.servers.get("s-1").gone
+    subject.confirm(START + 10.0)
+    subject.expire(START + 12.0)
+    assert not subject.servers.get("s-1").gone
+    subject.apply(written(record("s-1", 102)), START + 12.0)
+    subject.expire(START + 20.0)
+    assert subject.servers.get("s-1").unlisted_since is None
+    assert subject.servers.get("s-1").takes_work
+
+
+def test_an_entry_still_missing_after_the_return_names_a_server_that_is_gone():
+    subject = make_list(record("s-1"))
+    subject.apply(removal("s-1", 101), START + 1.0)
+    subject.expire(START + 3.4)
+    assert not subject.servers.get("s-1").gone
+    subject.expire(START + 3.6)
+    assert subject.servers.get("s-1").gone
+
+
+def test_a_gone_server_is_forgotten_once_its_flows_are_over():
+    subject = make_list(record("s-1"))
+    subject.apply(removal("s-1", 101), START)
+    subject.expire(START + 3.0)
+    subject.expire(START + 100.0)
+    assert subject.servers.get("s-1") is None
+
+
+def test_a_server_that_is_listed_again_after_it_was_gone_is_new():
+    subject = make_list(record("s-1"))
+    subject.apply(removal("s-1", 101), START)
+    subject.expire(START + 3.0)
+    subject.apply(written(record("s-1", 102)), START + 4.0)
+    assert subject.servers.get("s-1").takes_work
+    subject.expire(START + 100.0)
+    assert subject.servers.get("s-1").takes_work
+
+
+def test_an_older_whole_list_changes_nothing():
+    subject = make_list(record("s-1"))
+    subject.apply(whole_list(record("s-2"), revision=50), START)
+    assert [entry.name for entry in subject.changes_since(0).records] == ["s-1"]
+
+
+def test_a_reader_far_behind_gets_the_whole_list():
+    subject = make_list(record("s-1"))
+    assert subject.changes_since(0).whole
+    assert not subject.changes_since(100).whole
+    for number in range(MAX_REMOVALS + 1):
+        revision = 101 + 2 * number
+        subject.apply(written(record("s-9", revision)), START)
+        subject.apply(removal("s-9", revision + 1), START)
+        subject.apply(written(record(f"s-{number + 16:x}", revision + 1)), START)
+        subject.apply(removal(f"s-{number + 16:x}", revision + 1), START)
+    assert subject.changes_since(100).whole
+
+
+changes = st.lists(
+    st.tuples(st.sampled_from(["s-1", "s-2", "s-3"]), st.booleans(), st.integers(0, 2)),
+    max_size=25,
+)
+
+
+@given(changes, st.lists(st.integers(0, 24), max_size=8))
+def test_a_follower_that_asks_at_any_moments_ends_with_the_same_list(script, asked_at):
+    leader, follower = make_list(record("s-1")), ServerList(ListSettings())
+    revision = 100
+    for number, (name, present, born) in enumerate(script):
+        revision += 1
+        if present:
+            leader.apply(written(record(name, revision, born=born)), START)
+        else:
+            leader.apply(removal(name, revision), START)
+        # A removal of what is not there still moves the revision.
+        leader.revision = revision
+        if number in asked_at:
+            follower.apply(leader.changes_since(follower.revision), START)
+            follower.apply(leader.changes_since(max(0, follower.revision - 3)), START)
+    follower.apply(leader.changes_since(follower.revision), START)
+    names = {entry.name: entry.revision for entry in leader.changes_since(0).records}
+    assert {entry.name: entry.revision for entry in follower.changes_since(0).records} == names
--- /dev/null
+++ b/tests/test_silences.py
@@ -0,0 +1,41 @@
+"""When a server is taken for dead."""
+
+import pytest
+
+from marjoramford.flow_settings import SilenceSettings
+from marjoramford.silences import Responsiveness, Standing, is_dead
+
+SETTINGS = SilenceSettings()
+LISTED = Standing(None, False)
+
+
+def evidence(unanswered, silent_since=10.0, answered_at=9.0):
+    return Responsiveness(answered_at, unanswered, silent_since)
+
+
+@pytest.mark.parametrize(
+    ("subject", "standing", "retransmissions", "now", "expected"),
+    [
+        (evidence(3), LISTED, 1, 10.6, True),
+        (evidence(2), LISTED, 2, 13.0, False),
+        (evidence(3), LISTED, 1, 10.4, False),
+        (evidence(3), LISTED, 0, 13.0, False),
+        (evidence(1), Standing(9.5, False), 1, 10.2, True),
+        (evidence(1), Standing(9.5, False), 1, 10.1, False),
+        (evidence(1, answered_at=9.8), Standing(9.5, False), 1, 10.2, False),
+        (evidence(0, float("inf")), Standing(9.5, True), 0, 12.0, True),
+        (evidence(0, float("inf"), answered_at=9.8), Standing(9.5, True), 0, 12.0, False),
+    ],
+)
+def test_verdicts(subject, standing, retransmissions, now, expected):
+    assert is_dead(subject, standing, retransmissions, now, SETTINGS) is expected
+
+
+def test_an_answer_clears_all_evidence():
+    subject = evidence(5)
+    subject.doubted_until = 20.0
+    subject.note_answer(11.0)
+    assert subject.unanswered == 0
+    assert subject.doubted_until < 11.0
+    subject.note_unanswered(10.5, 11.2, 2.0)
+    assert subject.unanswered == 0
--- /dev/null
+++ b/tests/test_state_readers.py
@@ -0,0 +1,264 @@
+"""Reading the stand-in of the platform's store, and following another entry VM."""
+
+import asyncio
+from random import Random
+
+import msgspec
+import pytest
+
+from marjoramford.addresses import Address
+from marjoramford.entry_vms import EntryVm
+from marjoramford.errors import Step
+from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.http_calls import HttpClient
+from marjoramford.http_services import HttpAnswer, serve_http
+from marjoramford.peer_groups import PeerGroup
+from marjoramford.platform.stores import StoreReader
+from marjoramford.published_states import PublishedState, StatePublisher, apply_state
+from marjoramford.standins.packet_stores import PacketStore
+from marjoramford.state_readers import MemberExchange, StateReader
+
+from .flow_worlds import SETTINGS, START, FlowWorld, record, removal
+from .test_platform_packets import CONFIG, SERVER
+
+HOST = "127.0.0.1"
+
+
+def port_of(server):
+    return server.sockets[0].getsockname()[1]
+
+
+async def serve(handler):
+    """Serves on a free port and returns the address."""
+    server = await serve_http(Address(HOST, 0), handler)
+    return server, Address(HOST, port_of(server))
+
+
+def filled_store(servers=3, page_items=2):
+    store = PacketStore(page_items)
+    store.put("op/config", CONFIG)
+    for number in range(servers):
+        store.put(f"servers/i-{number}", SERVER)
+    store.put("servers/i-ff", b"\xff")
+    return store
+
+
+async def reader_of(store):
+    server, address = await serve(store.answer)
+    settings = msgspec.structs.replace(SETTINGS, platform=str(address))
+    balancer = FlowBalancer(settings, Random(1), 0.0)
+    return server, balancer, StoreReader(settings, balancer)
+
+
+def names(balancer):
+    return sorted(entry.name for entry in balancer.list.changes_since(0).records)
+
+
+def test_all_pages_are_read_then_changes_are_watched():
+    async def scenario():
+        store = filled_store()
+        server, balancer, reader = await reader_of(store)
+        assert (await reader.read(0.1)).unwrap()
+        assert names(balancer) == ["i-0", "i-1", "i-2"]
+        assert balancer.routes.version == 7
+        store.remove("servers/i-0")
+        store.put("servers/i-9", SERVER)
+        assert (await reader.read(5.0)).unwrap()
+        assert names(balancer) == ["i-1", "i-2", "i-9"]
+        assert not (await reader.read(0.01)).unwrap()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_dropped_history_is_read_anew():
+    async def scenario():
+        store = filled_store()
+        server, balancer, reader = await reader_of(store)
+        await reader.read(0.1)
+        store.remove("servers/i-0")
+        store.drop_history()
+        assert (await reader.read(0.1)).is_err()
+        assert (await reader.read(0.1)).unwrap()
+        assert names(balancer) == ["i-1", "i-2"]
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_an_entry_that_becomes_unreadable_names_no_server():
+    async def scenario():
+        store = filled_store()
+        server, balancer, reader = await reader_of(store)
+        await reader.read(0.1)
+        store.put("servers/i-1", b"{}")
+        await reader.read(5.0)
+        assert names(balancer) == ["i-0", "i-2"]
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_store_that_is_down_leaves_everything_in_force():
+    async def scenario():
+        store = filled_store()
+        server, balancer, reader = await reader_of(store)
+        await reader.read(0.1)
+        store.down = True
+        error = (await reader.read(0.1)).unwrap_err()
+        assert "503" in error.reason
+        assert names(balancer) == ["i-0", "i-1", "i-2"]
+        store.down = False
+        assert (await reader.read(0.01)).is_ok()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_connection_that_says_nothing_more_is_given_up():
+    async def scenario():
+        held = []
+
+        async def swallow(reader, writer):
+            held.append(writer)
+            await reader.read(1000)
+            await asyncio.sleep(60)
+
+        server = await asyncio.start_server(swallow, HOST, 0)
+        client = HttpClient(Address(HOST, port_of(server)), Step.READ_PLATFORM)
+        result = await client.get("/", timeout=0.05)
+        assert result.is_err()
+        assert result.unwrap_err().step == Step.READ_PLATFORM
+        for writer in held:
+            writer.transport.abort()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "reply", [b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"]
+)
+def test_answers_that_are_broken_or_cut_short_are_errors(reply):
+    async def scenario():
+        async def answer(reader, writer):
+            await reader.read(1000)
+            writer.write(reply)
+            writer.close()
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        client = HttpClient(Address(HOST, port_of(server)), Step.READ_PLATFORM)
+        assert (await client.get("/", timeout=5.0)).is_err()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_connection_is_used_again():
+    async def scenario():
+        async def echo(request):
+            return HttpAnswer(200, request.body or request.target.encode())
+
+        server, address = await serve(echo)
+        client = HttpClient(address, Step.GOSSIP)
+        assert (await client.get("/a", 5.0)).unwrap().body == b"/a"
+        first = client._writer
+        assert (await client.post("/b", b"xyz", 5.0)).unwrap().body == b"xyz"
+        assert client._writer is first
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_follower_gets_state_and_then_changes():
+    async def scenario():
+        leader = FlowWorld(record("s-1"), record("s-2", 2))
+        follower = FlowBalancer(SETTINGS, Random(1), START)
+        publisher = StatePublisher(leader.balancer)
+
+        async def ask(wait):
+            version = follower.routes.version if follower.routes else 0
+            body = await publisher.answer(follower.list.revision, version, wait)
+            apply_state(msgspec.json.decode(body, type=PublishedState), follower, START)
+
+        await ask(0.0)
+        assert follower.ready
+        assert names(follower) == ["s-1", "s-2"]
+        waiting = asyncio.create_task(ask(30.0))
+        await asyncio.sleep(0)
+        leader.apply(removal("s-1", 101))
+        publisher.notify()
+        await waiting
+        assert names(follower) == ["s-2"]
+
+    asyncio.run(scenario())
+
+
+def test_an_entry_vm_without_state_gives_none():
+    async def scenario():
+        empty = FlowBalancer(SETTINGS, Random(1), START)
+        body = await StatePublisher(empty).answer(0, 0, 0.0)
+        state = msgspec.json.decode(body, type=PublishedState)
+        assert state.age is None
+        follower = FlowBalancer(SETTINGS, Random(1), START)
+        apply_state(state, follower, START)
+        assert not follower.ready
+
+    asyncio.run(scenario())
+
+
+class NoPlatform:
+    async def read(self, wait):
+        client = HttpClient(Address(HOST, 1), Step.READ_PLATFORM)
+        return await client.get("/", 1.0)
+
+
+def test_a_start_while_the_platform_is_away_takes_the_state_of_a_seed():
+    async def scenario():
+        leader = FlowWorld(record("s-1"))
+        publisher = StatePublisher(leader.balancer)
+
+        async def answer(request):
+            return HttpAnswer(200, await publisher.answer(0, 0, 0.0))
+
+        server, address = await serve(answer)
+        balancer = FlowBalancer(SETTINGS, Random(1), START)
+        own = Address(HOST, 9)
+        vm = EntryVm("front-2", 1, "a", own, own)
+        group = PeerGroup(vm, [address], SETTINGS.peers, Random(1))
+        reader = StateReader(SETTINGS, balancer, group, NoPlatform(), StatePublisher(balancer))
+        task = asyncio.create_task(reader.run())
+        async with asyncio.timeout(20):
+            while not balancer.ready:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        server.close()
+        assert names(balancer) == ["s-1"]
+
+    asyncio.run(scenario())
+
+
+def test_two_entry_vms_learn_of_each_other_by_a_seed():
+    async def scenario():
+        groups = {}
+
+        async def answer(request):
+            from marjoramford.state_readers import hear_members
+
+            assert hear_members(groups["seed"], request.body)
+            return HttpAnswer(200, msgspec.json.encode(groups["seed"].news()))
+
+        server, seed = await serve(answer)
+        seed_vm = EntryVm("front-seed", 1, "a", seed, seed)
+        groups["seed"] = PeerGroup(seed_vm, [], SETTINGS.peers, Random(1))
+        for number in (1, 2):
+            own = Address(HOST, 9 + number)
+            vm = EntryVm(f"front-{number}", 1, "b", own, own)
+            group = PeerGroup(vm, [seed], SETTINGS.peers, Random(number))
+            await MemberExchange(SETTINGS, group).exchange_once()
+            groups[number] = group
+        assert {vm.name for vm in groups[2].entry_vms.others()} == {"front-seed", "front-1"}
+        server.close()
+
+    asyncio.run(scenario())
