A server is gone only once the platform confirms so; one that comes back keeps its flows

Entries were taken away for two machines only and came back 0.4 s later; their watch had fallen silent, and after 2.5 s of silence the servers were taken as gone. When they were listed again, flows still pointed to the incarnation taken as gone.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -242,6 +242,11 @@
         server.gone = True
         self._version += 1
 
+    def note_back(self, server: BackendServer) -> None:
+        """Notes that an incarnation taken as gone is there after all."""
+        server.gone = False
+        self._version += 1
+
     def forget(self, server: BackendServer) -> None:
         """Drops an incarnation that is gone."""
         if self._by_address.get(server.data_address) is server:
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -234,7 +234,7 @@
         if self._routes.find(head.flow.route_ip, head.flow.route_port) is None:
             return self._refuse(head.flow, "no route")
         first_seen = self._unknown_labels.setdefault(head.label, now)
-        if not self.ready or not self.list.settled(first_seen, now):
+        if not self.ready or not self.list.settled(first_seen):
             return self._drop("label not listed yet")
         return self._refuse(head.flow, "label of no server")
 
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -22,14 +22,16 @@
     Attributes:
         dead_retransmissions: packets sent again without an answer; three independent losses.
         dead_seconds: silence beside them, in seconds; the second retransmission comes after 0.6 s.
-        unlisted_seconds: silence of a server that is no longer listed, in seconds; one
-            retransmission, which comes after 0.2 s.
+        unlisted_retransmissions: the same for a server that is no longer listed.
+        unlisted_seconds: silence beside them, in seconds; the first retransmission comes after
+            0.2 s.
         doubt_seconds: no new flows after a packet sent again, in seconds; about two heartbeats.
         stall_seconds: a longer pause of this process makes its evidence void, in seconds.
     """
 
     dead_retransmissions: Annotated[int, Meta(ge=1, le=100)] = 3
     dead_seconds: Seconds = 0.5
+    unlisted_retransmissions: Annotated[int, Meta(ge=1, le=100)] = 2
     unlisted_seconds: Seconds = 0.15
     doubt_seconds: Seconds = 2.0
     stall_seconds: Seconds = 0.4
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -100,12 +100,14 @@
         self._records[record.name] = record
         self._removed.pop(record.name, None)
         held = self.servers.get(record.name)
-        if held is not None and (held.gone or held.incarnation != record.incarnation):
+        if held is not None and held.incarnation != record.incarnation:
             # What answered was the incarnation before; nothing will answer for it any more.
             held.responsiveness.answered_at = float("-inf")
             self._retire(held, "started again", now)
             self.servers.forget(held)
             held = None
+        elif held is not None and held.gone:
+            self._revive(held)
         self.servers.apply_record(record)
         server = self.servers.get(record.name)
         if server is None:
@@ -157,14 +159,17 @@
         """Notes that the platform does not answer: missing entries prove nothing."""
         self._steady_since = float("inf")
 
-    def settled(self, since: float, now: float) -> bool:
-        """Tells whether what was missing at `since` would be listed again by now."""
-        return now - max(since, self._steady_since) >= self._settings.relist_seconds
+    def settled(self, since: float) -> bool:
+        """Tells whether the platform has confirmed that what was missing at `since` stays so.
+
+        Entries that lapsed while it was away have had the time to come back by then.
+        """
+        return self.confirmed_at - max(since, self._steady_since) >= self._settings.relist_seconds
 
     def expire(self, now: float) -> None:
         """Takes servers as gone that are still missing, and forgets those gone for long."""
         for server in list(self._unlisted.values()):
-            if self.settled(server.unlisted_since, now):
+            if self.settled(server.unlisted_since):
                 self._retire(server, "left the list", now)
         while self._gone and self._gone[0].forgotten_at <= now:
             self._forget(self._gone.pop(0).server)
@@ -186,6 +191,11 @@
             revision=self.revision,
         )
 
+    def _revive(self, server: BackendServer) -> None:
+        """Takes a server back that was wrongly taken as gone; its flows are still there."""
+        self.servers.note_back(server)
+        self._gone = [gone for gone in self._gone if gone.server is not server]
+
     def _forget(self, server: BackendServer) -> None:
         self.servers.forget(server)
         self.labels.remove(server)
--- a/marjoramford/silences.py
+++ b/marjoramford/silences.py
@@ -88,5 +88,6 @@
         return False
     silence = now - server.silent_since
     if off_the_list:
-        return silence >= settings.unlisted_seconds
+        enough = server.unanswered >= settings.unlisted_retransmissions
+        return enough and silence >= settings.unlisted_seconds
     return silence >= settings.dead_seconds and server.unanswered >= settings.dead_retransmissions
--- a/tests/flow_worlds.py
+++ b/tests/flow_worlds.py
@@ -69,6 +69,10 @@
 
     def apply(self, changes):
         self.balancer.list.apply(changes, self.now)
+        self.confirm()
+
+    def confirm(self):
+        """The platform answers that nothing else has changed."""
         self.balancer.list.confirm(self.now)
 
     def pass_time(self, seconds):
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -24,6 +24,7 @@
     subject.expire(START + 9.9)
     assert not subject.servers.get("s-1").gone
     subject.confirm(START + 10.0)
+    subject.confirm(START + 12.0)
     subject.expire(START + 12.0)
     assert not subject.servers.get("s-1").gone
     subject.apply(written(record("s-1", 102)), START + 12.0)
@@ -32,11 +33,25 @@
     assert subject.servers.get("s-1").takes_work
 
 
+def test_a_platform_that_falls_silent_after_a_removal_confirms_nothing():
+    """Replays beschwerde-bayern hunt-5b8a-39 at 14.7 s: entries taken away, then a silent watch."""
+    subject = make_list(record("s-1"))
+    subject.apply(removal("s-1", 101), START + 1.0)
+    subject.confirm(START + 1.0)
+    subject.expire(START + 4.0)
+    assert not subject.servers.get("s-1").gone
+    subject.confirm(START + 3.6)
+    subject.expire(START + 4.0)
+    assert subject.servers.get("s-1").gone
+
+
 def test_an_entry_still_missing_after_the_return_names_a_server_that_is_gone():
     subject = make_list(record("s-1"))
     subject.apply(removal("s-1", 101), START + 1.0)
+    subject.confirm(START + 3.4)
     subject.expire(START + 3.4)
     assert not subject.servers.get("s-1").gone
+    subject.confirm(START + 3.6)
     subject.expire(START + 3.6)
     assert subject.servers.get("s-1").gone
 
@@ -44,6 +59,7 @@
 def test_a_gone_server_is_forgotten_once_its_flows_are_over():
     subject = make_list(record("s-1"))
     subject.apply(removal("s-1", 101), START)
+    subject.confirm(START + 3.0)
     subject.expire(START + 3.0)
     subject.expire(START + 100.0)
     assert subject.servers.get("s-1") is None
@@ -52,6 +68,7 @@
 def test_a_server_that_is_listed_again_after_it_was_gone_is_new():
     subject = make_list(record("s-1"))
     subject.apply(removal("s-1", 101), START)
+    subject.confirm(START + 3.0)
     subject.expire(START + 3.0)
     subject.apply(written(record("s-1", 102)), START + 4.0)
     assert subject.servers.get("s-1").takes_work
