--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -256,7 +256,7 @@
                 LogEvent.SERVER_SILENT,
                 server=server.name,
                 silent_seconds=round(now - waiting_since, 3),
-                answered_seconds_ago=round(now - evidence.answered_at, 3),
+                answered_seconds_ago=evidence.answer_age(now),
                 listed=server.unlisted_since is None,
             )
 
@@ -368,6 +368,6 @@
             gone=flow.server.gone,
             listed=flow.server.unlisted_since is None,
             unanswered=evidence.unanswered,
-            answered_seconds_ago=round(now - evidence.answered_at, 3),
+            answered_seconds_ago=evidence.answer_age(now),
             list_age=round(now - self.list.confirmed_at, 2),
         )
--- a/marjoramford/logs.py
+++ b/marjoramford/logs.py
@@ -1,9 +1,9 @@
 """Numbered log events, their formatters and a bound on their rate."""
 
 import logging
+import os
 import time
 from enum import IntEnum
-from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -116,11 +116,38 @@
         logger.log(level, event.name.lower().replace("_", " "), extra=extra)
 
 
-def configure_logging(style: str, level: str, stream: TextIO | None = None) -> None:
-    """Sends the package's log to `stream` (standard error) in `style`, ``plain`` or ``json``."""
-    handler = logging.StreamHandler(stream)
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a file descriptor; drops and counts those that would have to wait.
+
+    A line of up to 4,096 bytes goes into a pipe whole or not at all.
+    """
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record."""
+        try:
+            os.write(self._descriptor, f"{self.format(record)}\n".encode())
+        except OSError:
+            self.dropped += 1
+
+
+def configure_logging(style: str, level: str, descriptor: int | None = None) -> None:
+    """Sends the package's log to standard error, in `style` ``plain`` or ``json``.
+
+    With a file descriptor it goes there instead, and never blocks.
+    """
+    if descriptor is None:
+        handler: logging.Handler = logging.StreamHandler()
+    else:
+        handler = NonBlockingHandler(descriptor)
     handler.addFilter(RateLimit())
-    handler.setFormatter(JsonFormatter("%(asctime)s") if style == "json" else PlainFormatter())
+    formatter = JsonFormatter("%(asctime)s %(levelname)s %(message)s")
+    handler.setFormatter(formatter if style == "json" else PlainFormatter())
     package = logging.getLogger(__package__)
     package.handlers[:] = [handler]
     package.setLevel(level.upper())
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -173,6 +173,7 @@
         except (OSError, msgspec.MsgspecError) as error:
             log_event(logger, LogEvent.SETTINGS_RELOADED, applied=False, error=error)
             return
+        self._group.replace_seeds([Address.parse(seed) for seed in self._settings.seeds])
         log_event(logger, LogEvent.SETTINGS_RELOADED, applied=True)
 
     async def _drain(self, packets: PacketSocket) -> None:
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -58,17 +58,23 @@
     ):
         self._settings = settings
         self._random = random
-        self._seeds = [seed for seed in seeds if seed != own.control_address]
         self._avoided_until: dict[Address, float] = {}
+        self._helper: Address | None = None
         self._platform_failures = 0
         self._platform_retry_at = float("-inf")
         self.entry_vms = EntryVms(own, settings.suspicion_seconds)
+        self.replace_seeds(seeds)
 
     @property
     def platform_failures(self) -> int:
         """How many reads of the platform failed in a row."""
         return self._platform_failures
 
+    def replace_seeds(self, seeds: Sequence[Address]) -> None:
+        """Takes the control addresses to ask while no other entry VM is known."""
+        own = self.entry_vms.own.control_address
+        self._seeds = [seed for seed in seeds if seed != own]
+
     def news(self) -> tuple[MemberNews, ...]:
         """Returns what is known, for another entry VM: this one first, then its zone."""
         own = self.entry_vms.own
@@ -156,4 +162,6 @@
         reachable = [vm.control_address for vm in self.entry_vms.reachable()]
         addresses = reachable or self._seeds
         usable = [a for a in addresses if self._avoided_until.get(a, 0.0) <= now]
-        return self._random.choice(usable) if usable else None
+        if self._helper not in usable:
+            self._helper = self._random.choice(usable) if usable else None
+        return self._helper
--- a/marjoramford/platform/__main__.py
+++ b/marjoramford/platform/__main__.py
@@ -28,7 +28,7 @@
         settings = read_settings()
     except (KeyError, OSError, msgspec.MsgspecError) as error:
         sys.exit(f"settings: {error!r}")
-    configure_logging("json", settings.log_level, sys.stdout)
+    configure_logging("json", settings.log_level, sys.stdout.fileno())
     codec = PlatformCodec(Address.parse(settings.packet_address).port)
     asyncio.run(PacketVm(settings, codec, StoreReader, read_settings).run())
 
--- a/marjoramford/silences.py
+++ b/marjoramford/silences.py
@@ -27,6 +27,10 @@
     silent_since: float = float("inf")
     doubted_until: float = float("-inf")
 
+    def answer_age(self, now: float) -> float | None:
+        """Returns the seconds since the last sign of life, for logs; None if there was none."""
+        return round(now - self.answered_at, 3) if self.answered_at > float("-inf") else None
+
     def note_answer(self, now: float) -> None:
         """Notes a sign of life."""
         self.answered_at = now
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -70,6 +70,21 @@
     assert isinstance(subject.choose_source(NOW + SETTINGS.retry_seconds), ReadPlatform)
 
 
+def test_it_stays_with_one_helper_while_that_answers_with_fresh_state():
+    subject = fleet(6)[0]
+    helpers = []
+    for step in range(5):
+        subject.note_platform(False, NOW + step)
+        source = subject.choose_source(NOW + step)
+        assert isinstance(source, FollowPeer)
+        subject.note_followed(source.address, 0.1, NOW + step)
+        helpers.append(source.address)
+    assert len(set(helpers)) == 1
+    subject.note_followed(helpers[0], None, NOW + 5.0)
+    subject.note_platform(False, NOW + 5.0)
+    assert subject.choose_source(NOW + 5.0).address != helpers[0]
+
+
 def test_the_first_of_all_waits_when_nobody_can_be_asked():
     subject = group(vm(1))
     subject.note_platform(False, NOW)
