--- a/marjoramford/commands.py
+++ b/marjoramford/commands.py
@@ -19,6 +19,7 @@
 from .daemons import EntryVmDaemon
 from .deferrals import deferred
 from .experiments import Experiment, Plan
+from .flow_settings import read_packet_settings
 from .logs import configure_logging
 from .settings import EntryVmSettings, read_settings
 from .standins.commands import StandinCommands
@@ -60,6 +61,20 @@
         checked = _read_settings(settings)
         print(f"{settings}: entry VM {checked.name} in {checked.zone}: settings are valid")
 
+    @deferred
+    def check_packets(self, settings: str) -> None:
+        """Checks a settings file of an entry VM for opaque flows.
+
+        Args:
+            settings: path of the JSON settings file.
+        """
+        match read_packet_settings(settings):
+            case Ok(checked):
+                print(f"{settings}: entry VM {checked.name} in {checked.zone}: settings are valid")
+            case Err(error):
+                print(error, file=sys.stderr)
+                sys.exit(EXIT_USAGE)
+
     @deferred
     def dump(self, at: str) -> None:
         """Prints the state of an entry VM as JSON.
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -1,9 +1,13 @@
 """Settings of an entry VM for opaque flows, checked when they are read."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
+from result import Err, Ok, Result
+
+from .addresses import Address
+from .errors import Step, StepError
 
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 Share = Annotated[float, Meta(ge=0, le=10)]
@@ -62,13 +66,11 @@
     Attributes:
         relist_seconds: entries that lapsed while the platform was away are back within this
             time, in seconds; the platform's two seconds and a margin for the watch.
-        cold_start_seconds: how long a server is slow after its start if its entry does not say.
         forget_seconds: a server off the list is forgotten after this time, in seconds; the
             longest life of a flow.
     """
 
     relist_seconds: Seconds = 2.5
-    cold_start_seconds: Annotated[float, Meta(ge=0, le=3600)] = 0.0
     forget_seconds: Seconds = 60.0
 
 
@@ -92,8 +94,8 @@
         join_seconds: the same while no other entry VM is known.
         suspicion_seconds: a suspect is taken for lost after this time.
         timeout: for an answer beyond the wait.
-        max_news: entry VMs named in one exchange.
-        far_share: exchanges with other zones.
+        max_news: entry VMs named in one exchange; keeps two a round below 4 KB/s.
+        far_share: part of the exchanges, and of the news in them, that is for other zones.
         all_read_up_to: in a zone of so few entry VMs each reads the platform itself.
         min_readers: readers in a larger zone; more by half the root of its size.
         all_read_wait: wait of a watch in a small zone; bounds the time until a connection that
@@ -103,15 +105,15 @@
         max_state_age: a reader whose state is older is not followed.
         avoid_seconds: a peer that failed is not followed for this time.
         helper_pause: between questions to peers while the platform does not answer.
-        retry_seconds: first pause after a failed read of the platform; doubles up to
-            `max_retry_seconds`.
+        retry_seconds: first pause after a failed read of the platform; doubles each time.
+        max_retry_seconds: longest such pause.
     """
 
     exchange_seconds: Seconds = 2.0
     join_seconds: Seconds = 0.5
     suspicion_seconds: Seconds = 3.0
     timeout: Seconds = 0.6
-    max_news: Annotated[int, Meta(ge=1, le=10_000)] = 64
+    max_news: Annotated[int, Meta(ge=1, le=10_000)] = 24
     far_share: Annotated[float, Meta(ge=0, le=1)] = 0.2
     all_read_up_to: Annotated[int, Meta(ge=0, le=10_000)] = 4
     min_readers: Annotated[int, Meta(ge=1, le=1000)] = 2
@@ -162,10 +164,25 @@
     seeds: tuple[HostPort, ...] = ()
     flow_max_seconds: Seconds = 60.0
     max_flows: Annotated[int, Meta(ge=1, le=10_000_000)] = 50_000
-    log_level: str = "info"
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
     silence: SilenceSettings = SilenceSettings()
     placement: PlacementSettings = PlacementSettings()
     servers: ListSettings = ListSettings()
     reads: ReadSettings = ReadSettings()
     peers: PeerSettings = PeerSettings()
     stop: StopSettings = StopSettings()
+
+    def __post_init__(self) -> None:
+        """Checks that every address has a port from 1 to 65535."""
+        addresses = (self.packet_address, self.ready_address, self.control_address, self.platform)
+        for text in (*addresses, *self.seeds):
+            Address.parse(text)
+
+
+def read_packet_settings(path: str) -> Result[PacketVmSettings, StepError]:
+    """Reads and checks a settings file; keys that are not known are passed over."""
+    try:
+        with open(path, "rb") as settings_file:
+            return Ok(msgspec.json.decode(settings_file.read(), type=PacketVmSettings))
+    except (OSError, msgspec.MsgspecError) as error:
+        return Err(StepError(Step.READ_SETTINGS, path, str(error)))
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -10,9 +10,11 @@
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
+from result import Err, Ok, Result
 
 from .addresses import Address
 from .entry_vms import EntryVm
+from .errors import StepError
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_services import HttpAnswer, HttpRequest, serve_http
@@ -107,7 +109,7 @@
         settings: PacketVmSettings,
         codec: PacketCodec,
         make_reader: Callable[[PacketVmSettings, FlowBalancer], PlatformReader],
-        reload_settings: Callable[[], PacketVmSettings],
+        reload_settings: Callable[[], Result[PacketVmSettings, StepError]],
     ):
         self._settings = settings
         self._codec = codec
@@ -168,13 +170,13 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self) -> None:
-        try:
-            self._settings = self._reload_settings()
-        except (OSError, msgspec.MsgspecError) as error:
-            log_event(logger, LogEvent.SETTINGS_RELOADED, applied=False, error=error)
-            return
-        self._group.replace_seeds([Address.parse(seed) for seed in self._settings.seeds])
-        log_event(logger, LogEvent.SETTINGS_RELOADED, applied=True)
+        match self._reload_settings():
+            case Ok(settings):
+                self._settings = settings
+                self._group.replace_seeds([Address.parse(seed) for seed in settings.seeds])
+                log_event(logger, LogEvent.SETTINGS_RELOADED, applied=True)
+            case Err(error):
+                log_event(logger, LogEvent.SETTINGS_RELOADED, applied=False, error=error)
 
     async def _drain(self, packets: PacketSocket) -> None:
         """Forwards on, not ready, until the fabric sends nothing more."""
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -76,10 +76,18 @@
         self._seeds = [seed for seed in seeds if seed != own]
 
     def news(self) -> tuple[MemberNews, ...]:
-        """Returns what is known, for another entry VM: this one first, then its zone."""
+        """Returns news for another entry VM: of this one, and of some others drawn at random."""
         own = self.entry_vms.own
-        others = sorted(self.entry_vms.others(), key=lambda vm: vm.zone != own.zone)
-        return tuple(vm.news() for vm in [own, *others][: self._settings.max_news])
+        limit = self._settings.max_news - 1
+        near = [vm for vm in self.entry_vms.others() if vm.zone == own.zone]
+        far = [vm for vm in self.entry_vms.others() if vm.zone != own.zone]
+        reserved = min(len(far), int(limit * self._settings.far_share))
+        chosen = self._sample(near, limit - reserved)
+        chosen += self._sample(far, limit - len(chosen))
+        return tuple(vm.news() for vm in [own, *chosen])
+
+    def _sample(self, vms: list[EntryVm], limit: int) -> list[EntryVm]:
+        return vms if len(vms) <= limit else self._random.sample(vms, limit)
 
     def hear(self, news: Sequence[MemberNews]) -> None:
         """Takes what another entry VM knows."""
--- a/marjoramford/platform/__main__.py
+++ b/marjoramford/platform/__main__.py
@@ -4,10 +4,11 @@
 import os
 import sys
 
-import msgspec
+from result import Result
 
 from ..addresses import Address
-from ..flow_settings import PacketVmSettings
+from ..errors import StepError
+from ..flow_settings import PacketVmSettings, read_packet_settings
 from ..logs import configure_logging
 from ..packet_daemons import PacketVm
 from .packets import PlatformCodec
@@ -16,18 +17,17 @@
 SETTINGS_PATH_VARIABLE = "MARJORAMFORD_BOOT"
 
 
-def read_settings() -> PacketVmSettings:
+def read_settings() -> Result[PacketVmSettings, StepError]:
     """Reads the settings file, which the platform fills in from `deploy/entry-vm.json`."""
-    with open(os.environ[SETTINGS_PATH_VARIABLE], "rb") as settings_file:
-        return msgspec.json.decode(settings_file.read(), type=PacketVmSettings)
+    return read_packet_settings(os.environ[SETTINGS_PATH_VARIABLE])
 
 
 def main() -> None:
     """Serves until the planned stop is complete."""
-    try:
-        settings = read_settings()
-    except (KeyError, OSError, msgspec.MsgspecError) as error:
-        sys.exit(f"settings: {error!r}")
+    checked = read_settings()
+    if checked.is_err():
+        sys.exit(str(checked.err_value))
+    settings = checked.ok_value
     configure_logging("json", settings.log_level, sys.stdout.fileno())
     codec = PlatformCodec(Address.parse(settings.packet_address).port)
     asyncio.run(PacketVm(settings, codec, StoreReader, read_settings).run())
--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -93,7 +93,7 @@
             http_port=address.port,
             service=entry.service,
             slots=entry.slots,
-            listed_at=warm_at,
+            warm_at=warm_at,
             state="leaving" if entry.state == "draining" else "live",
         )
     )
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -23,7 +23,7 @@
     """What changed since the asker's state.
 
     Attributes:
-        records: entries that were written; `listed_at` counts from now, in seconds.
+        records: entries that were written; `warm_at` counts from now, in seconds.
         removed: names of removed entries with the revision of the removal.
         whole: whether `records` is the whole list.
         age: seconds since the platform confirmed this state; None if it never did.
@@ -104,6 +104,6 @@
 
 def _shift(record: VmRecord, seconds: float) -> VmRecord:
     """Moves the end of a cold start between this process's clock and a time from now."""
-    if record.listed_at <= 0:
+    if record.warm_at <= 0:
         return record
-    return msgspec.structs.replace(record, listed_at=max(0.0, record.listed_at + seconds))
+    return msgspec.structs.replace(record, warm_at=max(0.0, record.warm_at + seconds))
--- a/marjoramford/records.py
+++ b/marjoramford/records.py
@@ -76,6 +76,8 @@
         http_port: TCP, control (entry VMs) or requests, load and health (backend servers).
         slots: requests that a backend server runs at a time; 0 when not published.
         listed_at: when the VM came on the list, in epoch seconds.
+        warm_at: when its cold start is over, on the holder's steady clock in seconds; 0 if the
+            list does not say.
     """
 
     name: Name
@@ -90,6 +92,7 @@
     service: str = ""
     slots: Annotated[int, Meta(ge=0, le=10000)] = 0
     listed_at: float = 0.0
+    warm_at: float = 0.0
     state: Literal["live", "leaving", "gone"] = "live"
 
     @property
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -112,7 +112,7 @@
         server = self.servers.get(record.name)
         if server is None:
             return
-        server.warm_at = record.listed_at
+        server.warm_at = record.warm_at
         if server is not held:
             server.separable = self.labels.add(server)
             log_event(
--- /dev/null
+++ b/tests/test_flow_settings.py
@@ -0,0 +1,103 @@
+"""Settings of entry VMs for opaque flows, their page, and the command that checks them."""
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from marjoramford.flow_settings import PacketVmSettings, read_packet_settings
+
+ROOT = Path(__file__).parent.parent
+GOOD = {
+    "name": "front-1",
+    "zone": "a",
+    "packet_address": "10.0.0.1:1",
+    "ready_address": "10.0.0.1:2",
+    "control_address": "10.0.0.1:3",
+    "platform": "10.0.0.2:4",
+    "seeds": ["10.0.0.1:3"],
+}
+
+
+def write(tmp_path, content):
+    path = tmp_path / "entry.json"
+    path.write_text(json.dumps(content))
+    return str(path)
+
+
+def test_a_good_file_is_read_and_unknown_keys_are_passed_over(tmp_path):
+    settings = read_packet_settings(write(tmp_path, GOOD | {"new": 1})).unwrap()
+    assert settings.seeds == ("10.0.0.1:3",)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"name": ""},
+        {"packet_address": "10.0.0.1"},
+        {"platform": "10.0.0.1:99999"},
+        {"seeds": ["nowhere:1"]},
+        {"silence": {"dead_seconds": 0}},
+        {"log_level": "loud"},
+        {"max_flows": 0},
+    ],
+)
+def test_mistakes_are_refused(tmp_path, change):
+    assert read_packet_settings(write(tmp_path, GOOD | change)).is_err()
+
+
+def test_a_missing_file_is_an_error_with_its_path(tmp_path):
+    error = read_packet_settings(str(tmp_path / "none.json")).unwrap_err()
+    assert "none.json" in error.peer
+
+
+def test_the_command_checks(tmp_path):
+    def run(path):
+        command = [sys.executable, "-m", "marjoramford", "check_packets", path]
+        return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+    assert run(write(tmp_path, GOOD)).returncode == 0
+    bad = run(write(tmp_path, GOOD | {"max_flows": 0}))
+    assert bad.returncode == 2
+    assert "max_flows" in bad.stderr
+
+
+def test_the_filled_in_template_is_a_good_file(tmp_path):
+    values = {
+        "node": "front-a-1",
+        "zone": "a",
+        "listen.datagram_addr": "10.0.0.1:1",
+        "listen.ready": "10.0.0.1:2",
+        "listen.control": "10.0.0.1:3",
+        "platform.address": "10.0.0.2:4",
+        "seeds": ["10.0.0.1:3"],
+        "bounds.flow_max_s": 60,
+        "bounds.grace_s": 6,
+    }
+    template = (ROOT / "deploy" / "entry-vm.json").read_text()
+    filled = re.sub(
+        r"\{\{([a-z_.]+)(?:\|json)?\}\}", lambda found: json.dumps(values[found[1]]), template
+    )
+    settings = read_packet_settings(write(tmp_path, json.loads(filled))).unwrap()
+    assert settings.name == "front-a-1"
+    assert settings.stop.grace_seconds == 6.0
+
+
+def sections():
+    for field in msgspec.structs.fields(PacketVmSettings):
+        if isinstance(field.default, msgspec.Struct):
+            for inner in msgspec.structs.fields(type(field.default)):
+                yield f"{field.name}.{inner.name}", str(inner.default)
+        else:
+            default = "required" if field.required else str(field.default)
+            yield field.name, default
+
+
+def test_every_setting_is_on_its_page_with_its_default():
+    page = (ROOT / "docs" / "packet-settings.md").read_text()
+    listed = dict(re.findall(r"^\| `([a-z_.]+)` \| `([^`]+)` \|", page, re.M))
+    assert listed == dict(sections())
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -5,6 +5,7 @@
 import sys
 from pathlib import Path
 
+import pytest
 from pydantic import BaseModel
 
 from marjoramford.commands import Commands
@@ -52,7 +53,8 @@
         assert f"marjoramford standin {name}" in page, name
 
 
-def test_the_capacity_table_is_what_the_bench_gave():
-    command = [sys.executable, str(DOCS.parent / "tools" / "capacity.py"), "--check"]
+@pytest.mark.parametrize("tool", ["capacity.py", "measure_flows.py"])
+def test_the_capacity_tables_are_what_was_measured(tool):
+    command = [sys.executable, str(DOCS.parent / "tools" / tool), "--check"]
     result = subprocess.run(command, capture_output=True, text=True, timeout=60)
     assert result.returncode == 0, result.stderr
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -121,3 +121,23 @@
     earlier.incarnation = 50
     subject.hear([earlier.news()])
     assert subject.entry_vms.own.incarnation == 51
+
+
+def test_news_stays_small_and_still_reaches_everybody_in_a_large_fleet():
+    rounds = Random(2)
+    vms = [vm(number, "ab"[number % 2]) for number in range(1, 121)]
+    groups = {one.name: group(one) for one in vms}
+    seed = groups[vms[0].name]
+    for one in groups.values():
+        seed.hear(one.news())
+        one.hear(seed.news())
+    for _ in range(40):
+        for one in groups.values():
+            other = groups[rounds.choice([v.name for v in one.entry_vms.others()])]
+            news = one.news()
+            assert len(news) <= SETTINGS.max_news
+            other.hear(news)
+            one.hear(other.news())
+    for one in groups.values():
+        near = [v for v in one.entry_vms.active() if v.zone == one.entry_vms.own.zone]
+        assert len(near) == 59
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -46,7 +46,7 @@
 
 
 def test_a_cold_server_gets_less():
-    cold, warm = servers(record("s-1", listed_at=START + 5.0), record("s-2", 2))
+    cold, warm = servers(record("s-1", warm_at=START + 5.0), record("s-2", 2))
     assert choose([cold, warm]) is warm
 
 
--- a/tests/test_platform_packets.py
+++ b/tests/test_platform_packets.py
@@ -74,7 +74,7 @@
     made = decode_server(item(SERVER), now=100.0).unwrap()
     assert (made.name, made.incarnation, made.service) == ("i-7f3a91c2", 0, "huvo11a")
     assert (made.host, made.data_port, made.state) == ("10.128.0.9", 8080, "live")
-    assert made.listed_at == 101.5
+    assert made.warm_at == 101.5
 
 
 def test_the_start_of_a_server_is_its_incarnation():
--- /dev/null
+++ b/tools/measure_flows.py
@@ -0,0 +1,289 @@
+"""Measures the decisions, memory and control cost of entry VMs for opaque flows.
+
+Writes docs/measurements/flows.json and the table of docs/CAPACITY.md that is computed from it; with
+--check it only compares the table with the file.
+"""
+
+import json
+import sys
+import time
+import tracemalloc
+from pathlib import Path
+from random import Random
+
+import fire
+import msgspec
+
+from marjoramford.addresses import Address
+from marjoramford.entry_vms import EntryVm, MemberNews
+from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.flow_settings import PacketVmSettings, PeerSettings
+from marjoramford.packets import FlowKey, PacketHead
+from marjoramford.peer_groups import PeerGroup
+from marjoramford.records import VmRecord
+from marjoramford.routes import Route, RouteTable, WeightedService
+from marjoramford.server_lists import ListChanges
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+MEASURED = ROOT / "docs" / "measurements" / "flows.json"
+BEGIN = "<!-- computed by tools/measure_flows.py -->"
+END = "<!-- end of opaque flows -->"
+
+NODES = 19_000
+SERVERS = 190_000
+SERVICES = 11_000
+ZONES = 14
+FLOWS = 500_000_000
+OPENS_PER_SECOND = 910_000
+CHANGES_PER_SECOND = 68_000 / 86_400 + 3 * 45_000 / 86_400
+CALLS_BUDGET = 2_000
+MEMORY_BUDGET_MB = 64
+PROCESSOR_BUDGET_PERCENT = 1.6
+REPEATS = 5
+MEASURED_FLOWS = 20_000
+MEASURED_SERVERS = 5_000
+MEASURED_MEMBERS = 64
+ROUTE_IP = 0xC6120001
+
+
+def main(check: bool = False) -> None:
+    """Measures and writes file and table, or checks the table.
+
+    Args:
+        check: measure nothing; only compare.
+    """
+    if not check:
+        MEASURED.write_text(json.dumps(measure(), indent=1) + "\n", encoding="utf-8")
+    page = PAGE.read_text(encoding="utf-8")
+    before, rest = page.split(BEGIN)
+    after = rest.split(END)[1]
+    table = render(json.loads(MEASURED.read_text(encoding="utf-8")))
+    computed = f"{before}{BEGIN}\n\n{table}\n\n{END}{after}"
+    if check and computed != page:
+        print("docs/CAPACITY.md differs from docs/measurements/flows.json", file=sys.stderr)
+        sys.exit(1)
+    if not check:
+        PAGE.write_text(computed, encoding="utf-8")
+
+
+def measure() -> dict[str, float]:
+    """Returns all figures; rates are the medians of several runs."""
+    return {
+        "placements_per_second_17_servers": median(lambda: placement_rate(17)),
+        "placements_per_second_120_servers": median(lambda: placement_rate(120)),
+        "forwarded_per_second": median(forwarding_rate),
+        "bytes_per_flow": bytes_per_flow(),
+        "bytes_per_server": bytes_per_server(),
+        "exchange_bytes_64_members": exchange_bytes(),
+        "exchange_ms_64_members": median(exchange_milliseconds),
+    }
+
+
+def render(measured: dict[str, float]) -> str:
+    """Returns the table as Markdown."""
+    rows = [
+        ("quantity", "from", "at that size", "budget", "reaches"),
+        ("---", "---", "---", "---", "---"),
+        *flow_rows(measured),
+        *control_rows(measured),
+    ]
+    return "\n".join(f"| {' | '.join(row)} |" for row in rows)
+
+
+def flow_rows(measured: dict[str, float]):
+    """Yields what flows cost."""
+    placed = measured["placements_per_second_17_servers"]
+    opens = OPENS_PER_SECOND / NODES
+    yield (
+        "placing a flow",
+        f"{placed:,.0f}/s on a core with {SERVERS // SERVICES} servers a service",
+        f"{opens:.0f}/s, {100 * opens / placed:.2f}% of a core",
+        "none set (data)",
+        "yes",
+    )
+    yield (
+        "forwarding a packet, decision only",
+        f"{measured['forwarded_per_second']:,.0f}/s on a core",
+        "as traffic asks",
+        "none set (data)",
+        "yes",
+    )
+    flows = FLOWS / NODES
+    yield (
+        "memory of flows",
+        f"{measured['bytes_per_flow']:,.0f} bytes a flow",
+        f"{flows:,.0f} flows, {flows * measured['bytes_per_flow'] / 1e6:.1f} MB",
+        "none set (data); a cache, bounded by `max_flows`",
+        "yes",
+    )
+
+
+def control_rows(measured: dict[str, float]):
+    """Yields what knowing servers, other entry VMs and the platform costs."""
+    memory = SERVERS * measured["bytes_per_server"] / 1e6
+    yield (
+        "memory of the server list, as built: every node keeps all",
+        f"{measured['bytes_per_server']:,.0f} bytes a server",
+        f"{memory:.0f} MB",
+        f"{MEMORY_BUDGET_MB} MB",
+        verdict(memory <= MEMORY_BUDGET_MB),
+    )
+    members = NODES // ZONES
+    readers = max(2, int(members**0.5) // 2) * ZONES
+    calls = readers * (1.0 + CHANGES_PER_SECOND)
+    yield (
+        "calls on the platform",
+        f"{readers} readers, one watch a second and one a change each",
+        f"{calls:,.0f}/s",
+        f"{CALLS_BUDGET:,}/s",
+        verdict(calls <= CALLS_BUDGET),
+    )
+    followers = members / (readers / ZONES)
+    yield (
+        "followers of a reader",
+        "half the root of a zone's entry VMs read",
+        f"{followers:.0f}, each with one waiting question",
+        "none set",
+        "yes",
+    )
+    # Every 2 s a node asks one other, and on average answers one.
+    sent = measured["exchange_bytes_64_members"]
+    percent = measured["exchange_ms_64_members"] / 10
+    yield (
+        "exchange of news, both ways every 2 s, and as many asked by others",
+        f"{measured['exchange_bytes_64_members']:,.0f} bytes and "
+        f"{measured['exchange_ms_64_members']:.2f} ms each",
+        f"{sent:,.0f} B/s sent, {percent:.2f}% of a core",
+        f"4096 B/s, {PROCESSOR_BUDGET_PERCENT}%",
+        verdict(sent <= 4096),
+    )
+
+
+def verdict(kept: bool) -> str:
+    """Returns how a row reads."""
+    return "yes" if kept else "**no**"
+
+
+def median(run) -> float:
+    """Returns the median of several runs."""
+    return sorted(run() for _ in range(REPEATS))[REPEATS // 2]
+
+
+def make_balancer(servers: int, max_flows: int = 100_000) -> FlowBalancer:
+    """Returns a balancer with one route and so many servers in two zones."""
+    settings = PacketVmSettings(
+        name="front-1",
+        zone="a",
+        packet_address="127.0.0.1:1",
+        ready_address="127.0.0.1:2",
+        control_address="127.0.0.1:3",
+        platform="127.0.0.1:4",
+        max_flows=max_flows,
+    )
+    balancer = FlowBalancer(settings, Random(1), 0.0)
+    route = Route(ROUTE_IP, 443, (WeightedService("booking", 1.0),))
+    balancer.take_routes(RouteTable(1, (route,), 15.0))
+    records = tuple(make_record(number) for number in range(servers))
+    balancer.list.apply(ListChanges(records, (), True, servers + 1), 0.0)
+    balancer.list.confirm(0.0)
+    return balancer
+
+
+def make_record(number: int) -> VmRecord:
+    """Returns a server's entry."""
+    return VmRecord(
+        name=f"i-{number:010x}",
+        revision=number + 1,
+        incarnation=0,
+        role="server",
+        zone="ab"[number % 2],
+        host=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+        data_port=8000,
+        http_port=8000,
+        service="booking",
+        slots=2,
+    )
+
+
+def opening(number: int) -> PacketHead:
+    """Returns a flow's opening packet."""
+    key = FlowKey(0x64400000 + (number >> 15), number & 0x7FFF, ROUTE_IP, 443)
+    return PacketHead(key, 0, True, False, False, 5, 0, 0)
+
+
+def placement_rate(servers: int) -> float:
+    """Returns flows placed a second."""
+    balancer = make_balancer(servers)
+    heads = [opening(number) for number in range(MEASURED_FLOWS)]
+    started_at = time.perf_counter()
+    for head in heads:
+        balancer.take_packet(head, 0.0)
+    return len(heads) / (time.perf_counter() - started_at)
+
+
+def forwarding_rate() -> float:
+    """Returns packets of open flows decided a second."""
+    balancer = make_balancer(17)
+    label = balancer.take_packet(opening(1), 0.0).label
+    key = opening(1).flow
+    heads = [
+        PacketHead(key, label, False, False, False, 6 + 200 * n, 100 + 600 * n, 200)
+        for n in range(MEASURED_FLOWS)
+    ]
+    started_at = time.perf_counter()
+    for head in heads:
+        balancer.take_packet(head, 0.1)
+    return len(heads) / (time.perf_counter() - started_at)
+
+
+def bytes_per_flow() -> float:
+    """Returns the memory of a remembered flow."""
+    balancer = make_balancer(17)
+    heads = [opening(number) for number in range(MEASURED_FLOWS)]
+    tracemalloc.start()
+    for head in heads:
+        balancer.take_packet(head, 0.0)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return round(size / len(heads), 1)
+
+
+def bytes_per_server() -> float:
+    """Returns the memory of a listed server."""
+    tracemalloc.start()
+    balancer = make_balancer(MEASURED_SERVERS)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return round(size / len(list(balancer.list.servers.values())), 1)
+
+
+def make_group() -> PeerGroup:
+    """Returns a group that knows many entry VMs."""
+    vms = []
+    for number in range(MEASURED_MEMBERS):
+        address = Address(f"10.1.0.{number}", 8166)
+        vms.append(EntryVm(f"front-a-{number}", 1_700_000_000_000, "a", address, address))
+    group = PeerGroup(vms[0], (), PeerSettings(), Random(1))
+    group.hear([vm.news() for vm in vms[1:]])
+    return group
+
+
+def exchange_bytes() -> float:
+    """Returns the bytes of one side's news."""
+    return float(len(msgspec.json.encode(make_group().news())))
+
+
+def exchange_milliseconds() -> float:
+    """Returns the processor time of encoding and taking news once."""
+    group = make_group()
+    rounds = 200
+    started_at = time.perf_counter()
+    for _ in range(rounds):
+        body = msgspec.json.encode(group.news())
+        group.hear(msgspec.json.decode(body, type=tuple[MemberNews, ...]))
+    return round((time.perf_counter() - started_at) / rounds * 1000, 3)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
