Followers leave a reader in time for a bound of 3 s

Cause: a reader that loses the store without a word was followed for up to max_state_age + follower_wait, 3.0 s, as long as the shortest bound for a change. 2.3 s now.

--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -102,7 +102,8 @@
             has gone silent is noticed.
         reader_wait: the same for a reader; bounds the age of what its followers get.
         follower_wait: how long a follower's question waits at the reader.
-        max_state_age: a reader whose state is older is not followed.
+        max_state_age: a reader whose state is older is not followed. With `follower_wait` it stays
+            below the shortest time in which a change must be in force, 3 s.
         avoid_seconds: a peer that failed is not followed for this time.
         helper_pause: between questions to peers while the platform does not answer.
         retry_seconds: first pause after a failed read of the platform; doubles each time.
@@ -118,9 +119,9 @@
     all_read_up_to: Annotated[int, Meta(ge=0, le=10_000)] = 4
     min_readers: Annotated[int, Meta(ge=1, le=1000)] = 2
     all_read_wait: Seconds = 2.5
-    reader_wait: Seconds = 1.0
-    follower_wait: Seconds = 1.0
-    max_state_age: Seconds = 2.0
+    reader_wait: Seconds = 0.8
+    follower_wait: Seconds = 0.7
+    max_state_age: Seconds = 1.6
     avoid_seconds: Seconds = 2.0
     helper_pause: Seconds = 0.25
     retry_seconds: Seconds = 0.25
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -131,10 +131,10 @@
     )
     members = NODES // ZONES
     readers = max(2, int(members**0.5) // 2) * ZONES
-    calls = readers * (1.0 + CHANGES_PER_SECOND)
+    calls = readers * (1.0 / PeerSettings().reader_wait + CHANGES_PER_SECOND)
     yield (
         "calls on the platform",
-        f"{readers} readers, one watch a second and one a change each",
+        f"{readers} readers, one watch each {PeerSettings().reader_wait} s and one a change",
         f"{calls:,.0f}/s",
         f"{CALLS_BUDGET:,}/s",
         verdict(calls <= CALLS_BUDGET),
