--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -5,14 +5,15 @@
 """
 
 import logging
-from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass
 from random import Random
 
 from .backend_servers import BackendServer
 from .flow_labels import derive_label
+from .flow_logs import log_dead_server, log_placement, log_silence
 from .flow_settings import PacketVmSettings
+from .latencies import Latencies
 from .logs import LogEvent, log_event
 from .packet_flows import PacketFlow, PacketFlowTable
 from .packets import DropPacket, FlowKey, Forward, PacketAction, PacketHead, ResetFlow
@@ -29,21 +30,6 @@
 # How long a flow is remembered after its caller's last packet, in seconds; several of the
 # longest pauses between retransmissions.
 CLOSED_FLOW_SECONDS = 5.0
-# Upper bounds of the latency histograms, in seconds; around the callers' targets.
-LATENCY_BOUNDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0)
-
-
-class Latencies:
-    """Counts of durations between fixed bounds."""
-
-    def __init__(self) -> None:
-        self.counts = [0] * (len(LATENCY_BOUNDS) + 1)
-        self.total = 0.0
-
-    def observe(self, seconds: float) -> None:
-        """Counts one duration."""
-        self.counts[bisect_left(LATENCY_BOUNDS, seconds)] += 1
-        self.total += seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +131,7 @@
         flow = PacketFlow(head.flow, server, label, True, now, now, waiting_since=now)
         flow.first_sequence = head.sequence
         self._add_flow(flow)
-        self._log_placement(LogEvent.FLOW_PLACED, flow, now)
+        log_placement(LogEvent.FLOW_PLACED, flow, self._routes, self.list, now)
         return Forward(server, label)
 
     def _repeat_opening(self, flow: PacketFlow, now: float) -> PacketAction:
@@ -166,7 +152,7 @@
         flow.label = derive_label(other.name, other.incarnation)
         flow.waiting_since = now
         self._add_flow(flow)
-        self._log_placement(LogEvent.FLOW_MOVED, flow, now)
+        log_placement(LogEvent.FLOW_MOVED, flow, self._routes, self.list, now)
         return Forward(other, flow.label)
 
     def _place(
@@ -192,16 +178,16 @@
             if flow is None:
                 return self._judge_unknown(head, now)
         server = flow.server
-        retransmissions = flow.retransmissions
+        rounds = flow.rounds.count
         waiting_since = flow.waiting_since
         if flow.note_packet(head, now):
             self._note_answer(flow, waiting_since, now)
-        elif flow.retransmissions > retransmissions:
+        elif flow.rounds.count > rounds:
             self._note_unanswered(server, flow.waiting_since, now)
         self._update_request(flow)
         if self._is_dead(flow, now):
             self._end_flow(flow)
-            self._log_reset(flow, "server is dead", now)
+            log_dead_server(flow, self.list, self._losses.is_lossy(now), now)
             return ResetFlow("server is dead")
         if head.aborts:
             self._end_flow(flow)
@@ -215,7 +201,7 @@
         return is_dead(
             server.responsiveness,
             Standing(server.unlisted_since, server.gone),
-            flow.retransmissions,
+            flow.rounds.count,
             self._losses.is_lossy(now),
             now,
             self._settings.silence,
@@ -273,14 +259,7 @@
         doubted = evidence.doubted_until > now
         evidence.note_unanswered(waiting_since, now, self._settings.silence.doubt_seconds)
         if not doubted and evidence.doubted_until > now:
-            log_event(
-                logger,
-                LogEvent.SERVER_SILENT,
-                server=server.name,
-                silent_seconds=round(now - waiting_since, 3),
-                answered_seconds_ago=evidence.answer_age(now),
-                listed=server.unlisted_since is None,
-            )
+            log_silence(server, waiting_since, now)
 
     def _update_request(self, flow: PacketFlow) -> None:
         """Counts a flow as a request in progress while an answer is awaited."""
@@ -317,7 +296,7 @@
                 continue
             if self._is_dead(flow, now):
                 self._end_flow(flow)
-                self._log_reset(flow, "server is dead", now)
+                log_dead_server(flow, self.list, self._losses.is_lossy(now), now)
                 resets.append(FlowReset(flow.key, flow.acknowledged))
         return resets
 
@@ -337,7 +316,7 @@
         for server in self.list.servers.values():
             server.responsiveness.forgive()
         for flow in self._flows:
-            flow.retransmissions = 0
+            flow.rounds.clear()
             if flow.waiting_since is not None:
                 flow.waiting_since = now
         stood_still = round(now - self._ticked_at, 3)
@@ -357,35 +336,3 @@
     def _drop(self, reason: str) -> DropPacket:
         log_event(logger, LogEvent.FLOW_DROPPED, reason=reason)
         return DropPacket(reason)
-
-    def _log_placement(self, event: LogEvent, flow: PacketFlow, now: float) -> None:
-        server = flow.server
-        log_event(
-            logger,
-            event,
-            flow=str(flow.key),
-            server=server.name,
-            zone=server.zone,
-            in_progress=server.in_progress,
-            open_flows=server.open_flows,
-            tried=len(flow.tried),
-            routes=self._routes.version,
-            revision=self.list.revision,
-            list_age=round(now - self.list.confirmed_at, 2),
-        )
-
-    def _log_reset(self, flow: PacketFlow, reason: str, now: float) -> None:
-        evidence = flow.server.responsiveness
-        log_event(
-            logger,
-            LogEvent.FLOW_RESET,
-            flow=str(flow.key),
-            reason=reason,
-            server=flow.server.name,
-            gone=flow.server.gone,
-            listed=flow.server.unlisted_since is None,
-            unanswered=evidence.unanswered,
-            lossy=self._losses.is_lossy(now),
-            answered_seconds_ago=evidence.answer_age(now),
-            list_age=round(now - self.list.confirmed_at, 2),
-        )
--- /dev/null
+++ b/marjoramford/flow_logs.py
@@ -0,0 +1,62 @@
+"""Log lines of decisions on opaque flows, each with the inputs that decided it and their age."""
+
+import logging
+
+from .backend_servers import BackendServer
+from .logs import LogEvent, log_event
+from .packet_flows import PacketFlow
+from .routes import RouteTable
+from .server_lists import ServerList
+
+logger = logging.getLogger(__name__)
+
+
+def log_placement(
+    event: LogEvent, flow: PacketFlow, routes: RouteTable, server_list: ServerList, now: float
+) -> None:
+    """Logs at which server a flow opens, or where its opening packet goes next."""
+    server = flow.server
+    log_event(
+        logger,
+        event,
+        flow=str(flow.key),
+        server=server.name,
+        zone=server.zone,
+        in_progress=server.in_progress,
+        open_flows=server.open_flows,
+        tried=len(flow.tried),
+        routes=routes.version,
+        revision=server_list.revision,
+        list_age=round(now - server_list.confirmed_at, 2),
+    )
+
+
+def log_dead_server(flow: PacketFlow, server_list: ServerList, lossy: bool, now: float) -> None:
+    """Logs why a flow's server is taken for dead."""
+    server = flow.server
+    evidence = server.responsiveness
+    log_event(
+        logger,
+        LogEvent.FLOW_RESET,
+        flow=str(flow.key),
+        reason="server is dead",
+        server=server.name,
+        gone=server.gone,
+        listed=server.unlisted_since is None,
+        unanswered=evidence.unanswered,
+        lossy=lossy,
+        answered_seconds_ago=evidence.answer_age(now),
+        list_age=round(now - server_list.confirmed_at, 2),
+    )
+
+
+def log_silence(server: BackendServer, waiting_since: float, now: float) -> None:
+    """Logs that a server did not answer and is avoided for a while."""
+    log_event(
+        logger,
+        LogEvent.SERVER_SILENT,
+        server=server.name,
+        silent_seconds=round(now - waiting_since, 3),
+        answered_seconds_ago=server.responsiveness.answer_age(now),
+        listed=server.unlisted_since is None,
+    )
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/flow_metrics.py
@@ -10,7 +10,8 @@
     Metric,
 )
 
-from .flow_balancers import LATENCY_BOUNDS, FlowBalancer, Latencies
+from .flow_balancers import FlowBalancer
+from .latencies import LATENCY_BOUNDS, Latencies
 
 
 class FlowBalancerCollector:
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -115,13 +115,12 @@
         self._codec = codec
         self._reload_settings = reload_settings
         self.balancer = FlowBalancer(settings, Random(), time.monotonic())
-        self._random = Random()
         self._publisher = StatePublisher(self.balancer)
         self._group = PeerGroup(
             _describe_own(settings),
             [Address.parse(seed) for seed in settings.seeds],
             settings.peers,
-            self._random,
+            Random(),
         )
         self._exchange = MemberExchange(settings, self._group)
         self._reader = StateReader(
@@ -134,8 +133,8 @@
         self._stopping = asyncio.Event()
         self._failed = asyncio.Event()
 
-    async def run(self) -> None:
-        """Serves until a planned stop is complete."""
+    async def run(self) -> bool:
+        """Serves until a planned stop is complete; returns whether all tasks worked till then."""
         settings = self._settings
         packets = PacketSocket(self.balancer, self._codec, Address.parse(settings.packet_address))
         self._install_signal_handlers()
@@ -162,6 +161,7 @@
                 server.close()
             packets.close()
             log_event(logger, LogEvent.ENTRY_VM_STOPPED, entry_vm=settings.name)
+        return not self._failed.is_set()
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .backend_servers import BackendServer
 from .flow_labels import derive_label
@@ -23,6 +23,45 @@
     return (later - earlier + (SEQUENCE_MODULUS >> 1)) % SEQUENCE_MODULUS - (SEQUENCE_MODULUS >> 1)
 
 
+@dataclass(slots=True)
+class RetransmissionRounds:
+    """Rounds in which a caller sends data again that was not acknowledged.
+
+    A round counts if the oldest data of the round before is in it again: then nothing has arrived.
+    Several packets of one round count once.
+
+    Attributes:
+        count: rounds that count.
+        began_at: when the newest round began, on the steady clock in seconds.
+        oldest: the lowest sequence number in that round.
+        previous_oldest: the lowest sequence number in the round before it.
+        counted: whether the newest round counts.
+    """
+
+    count: int = 0
+    began_at: float = float("-inf")
+    oldest: int = 0
+    previous_oldest: int = 0
+    counted: bool = False
+
+    def note(self, sequence: int, now: float) -> None:
+        """Takes the sequence number of data that was sent again."""
+        if now - self.began_at >= RETRANSMISSION_MIN_AGE:
+            self.began_at = now
+            self.counted = False
+            self.previous_oldest = self.oldest if self.count else sequence
+            self.oldest = sequence
+        if sequence_distance(sequence, self.oldest) < 0:
+            self.oldest = sequence
+        if not self.counted and sequence_distance(sequence, self.previous_oldest) <= 0:
+            self.counted = True
+            self.count += 1
+
+    def clear(self) -> None:
+        """Starts anew after a sign of the server."""
+        self.count = 0
+
+
 @dataclass(slots=True)
 class PacketFlow:
     """One flow whose packets come through this entry VM.
@@ -35,15 +74,11 @@
         opened_at: when its first packet was forwarded, on the steady clock in seconds.
         active_at: when its last packet came.
         waiting_since: when the oldest packet without an answer was forwarded; None if none.
-        retransmissions: rounds in which the oldest data was sent again since the last sign of
-            the server.
+        rounds: in which data was sent again since the last sign of the server.
         counted: whether it counts as a request in progress at its server.
         closing: whether the caller has said that it sends nothing more.
         window_start: the caller has certainly sent nothing before this without an answer.
         newest_at: when data not seen before came last.
-        round_at: when the newest round of retransmissions began.
-        round_oldest: the lowest number in that round.
-        previous_oldest: the lowest number in the round before it.
         first_sequence: the opening packet's number; None if it did not come through here.
     """
 
@@ -55,15 +90,11 @@
     active_at: float
     tried: tuple[BackendServer, ...] = ()
     waiting_since: float | None = None
-    retransmissions: int = 0
+    rounds: RetransmissionRounds = field(default_factory=RetransmissionRounds)
     acknowledged: int = 0
     next_sequence: int = 0
     window_start: int = 0
     newest_at: float = float("-inf")
-    round_at: float = float("-inf")
-    round_oldest: int = 0
-    previous_oldest: int = 0
-    round_counted: bool = False
     counted: bool = False
     closing: bool = False
     first_sequence: int | None = None
@@ -87,7 +118,7 @@
             answered = self._note_acknowledgement(head)
         if answered:
             self.waiting_since = None
-            self.retransmissions = 0
+            self.rounds.clear()
         if head.data_bytes:
             answered = self._note_data(head, now) or answered
         self.active_at = now
@@ -112,7 +143,7 @@
         if self.waiting_since is None:
             self.waiting_since = now
         elif now - self.newest_at >= RETRANSMISSION_MIN_AGE:
-            self._note_repeated(head.sequence, now)
+            self.rounds.note(head.sequence, now)
         return False
 
     def _note_new_data(self, end: int, now: float) -> bool:
@@ -125,25 +156,11 @@
         if confirmed or self.waiting_since is None:
             self.waiting_since = now
         if confirmed:
-            self.retransmissions = 0
+            self.rounds.clear()
         self.next_sequence = end
         self.newest_at = now
         return confirmed
 
-    def _note_repeated(self, sequence: int, now: float) -> None:
-        """Takes data seen before. A round counts once, if the oldest data is in it again."""
-        if now - self.round_at >= RETRANSMISSION_MIN_AGE:
-            self.round_at = now
-            self.round_counted = False
-            self.previous_oldest = self.round_oldest if self.retransmissions else sequence
-            self.round_oldest = sequence
-        if sequence_distance(sequence, self.round_oldest) < 0:
-            self.round_oldest = sequence
-        oldest_again = sequence_distance(sequence, self.previous_oldest) <= 0
-        if oldest_again and not self.round_counted:
-            self.round_counted = True
-            self.retransmissions += 1
-
 
 class PacketFlowTable:
     """The flows seen lately, oldest packet first."""
--- a/marjoramford/platform/__main__.py
+++ b/marjoramford/platform/__main__.py
@@ -30,7 +30,8 @@
     settings = checked.ok_value
     configure_logging("json", settings.log_level, sys.stdout.fileno())
     codec = PlatformCodec(Address.parse(settings.packet_address).port)
-    asyncio.run(PacketVm(settings, codec, StoreReader, read_settings).run())
+    if not asyncio.run(PacketVm(settings, codec, StoreReader, read_settings).run()):
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -56,8 +56,8 @@
         after = ""
         items: list[msgspec.Raw] = []
         revision = 0
+        asked_at = time.monotonic()
         while True:
-            asked_at = time.monotonic()
             query = f"prefix=&after={quote(after)}" if after else "prefix="
             reply = await self._get(f"/v1/kv-range?{query}", _Page, self._timeout)
             if reply.is_err():
--- a/marjoramford/silences.py
+++ b/marjoramford/silences.py
@@ -95,7 +95,7 @@
 def is_dead(
     server: Responsiveness,
     standing: Standing,
-    flow_retransmissions: int,
+    flow_rounds: int,
     lossy: bool,
     now: float,
     settings: SilenceSettings,
@@ -110,13 +110,13 @@
         lossy: whether packets to living servers are being lost here; doubles the bounds.
         now: time on the steady clock, in seconds.
         settings: bounds on the evidence.
-        flow_retransmissions: packets of this flow sent again since its last answer.
+        flow_rounds: rounds in which this flow's oldest data was sent again since its last answer.
     """
     unlisted_since = standing.unlisted_since
     off_the_list = unlisted_since is not None and server.answered_at < unlisted_since
     if standing.gone and off_the_list:
         return True
-    if flow_retransmissions == 0 or server.unanswered == 0:
+    if flow_rounds == 0 or server.unanswered == 0:
         return False
     if now - server.repeated_at < settings.answer_seconds:
         return False
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -33,7 +33,7 @@
     for round_at in (1.0, 1.2, 1.6, 2.4):
         for packet in range(16):
             assert not subject.note_packet(head(100 + packet * DATA, DATA), round_at)
-    assert subject.retransmissions == 3
+    assert subject.rounds.count == 3
 
 
 def test_reordered_uploads_on_a_narrow_link_are_no_silence():
@@ -47,7 +47,7 @@
             now += 0.002
         now += 0.2
         subject.note_packet(head(window[8], DATA), now)
-    assert subject.retransmissions < 2
+    assert subject.rounds.count < 2
 
 
 def test_data_beyond_the_window_proves_that_older_data_arrived():
