--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -58,3 +58,10 @@
     command = [sys.executable, str(DOCS.parent / "tools" / tool), "--check"]
     result = subprocess.run(command, capture_output=True, text=True, timeout=60)
     assert result.returncode == 0, result.stderr
+
+
+def test_the_platform_gets_the_versions_that_are_tested():
+    root = DOCS.parent
+    tested = (root / "requirements.txt").read_text().splitlines()
+    deployed = (root / "deploy" / "requirements.txt").read_text().splitlines()
+    assert [line for line in deployed if line not in tested] == []
