--- /dev/null
+++ b/tests/test_flow_metrics.py
@@ -0,0 +1,72 @@
+"""What operators see of an entry VM for opaque flows: metrics, dump and log."""
+
+import json
+import logging
+import os
+from random import Random
+
+from marjoramford.addresses import Address
+from marjoramford.entry_vms import EntryVm
+from marjoramford.flow_dumps import dump_state
+from marjoramford.flow_metrics import render_flow_metrics
+from marjoramford.logs import LogEvent, NonBlockingHandler, PlainFormatter, log_event
+from marjoramford.peer_groups import PeerGroup
+
+from .flow_worlds import SETTINGS, FlowWorld, record
+
+
+def busy_world():
+    world = FlowWorld(record("s-1"))
+    caller = world.caller()
+    caller.established()
+    caller.request()
+    world.now += 0.03
+    caller.take_answer()
+    return world
+
+
+def test_metrics_count_actions_and_time_answers():
+    text = render_flow_metrics(busy_world().balancer).decode()
+    assert 'marjoramford_packet_events_total{name="Forward"} 4.0' in text
+    assert 'marjoramford_flow_answer_seconds_bucket{le="0.05"} 2.0' in text
+    assert 'marjoramford_flow_answer_seconds_bucket{le="0.02"} 1.0' in text
+    assert "marjoramford_ready 1.0" in text
+
+
+def test_the_dump_names_servers_flows_and_entry_vms():
+    own = Address("127.0.0.1", 3)
+    group = PeerGroup(EntryVm("front-1", 1, "a", own, own), (), SETTINGS.peers, Random(1))
+    dump = json.loads(dump_state(busy_world().balancer, group))
+    assert dump["ready"] is True
+    assert dump["backend_servers"][0]["open_flows"] == 1
+    assert dump["flows"][0]["server"] == "s-1"
+    assert dump["entry_vms"] == []
+
+
+def test_every_line_of_a_flow_names_it_and_what_was_known(caplog):
+    logging.getLogger("marjoramford").propagate = True
+    with caplog.at_level(logging.INFO, logger="marjoramford"):
+        busy_world()
+    placed = [line for line in caplog.records if line.event == LogEvent.FLOW_PLACED]
+    assert placed[0].fields["flow"] == "100.64.0.7:1001>198.18.0.1:443"
+    assert {"server", "routes", "revision", "list_age"} <= placed[0].fields.keys()
+
+
+def test_a_full_pipe_loses_lines_and_never_blocks():
+    reading, writing = os.pipe()
+    handler = NonBlockingHandler(writing)
+    handler.setFormatter(PlainFormatter())
+    logger = logging.getLogger("test_full_pipe")
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    for _ in range(2000):
+        log_event(logger, LogEvent.FLOW_PLACED, flow="x" * 200)
+    assert handler.dropped > 0
+    os.read(reading, 65_536)
+    before = handler.dropped
+    log_event(logger, LogEvent.FLOW_PLACED, flow="y")
+    assert handler.dropped == before
+    logger.removeHandler(handler)
+    os.close(reading)
+    os.close(writing)
