--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -25,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 SWEEP_SECONDS = 1.0
+# Labels of no known server remembered; far more than servers that start in the time of one read.
+MAX_UNKNOWN_LABELS = 1024
 # Route tables remembered for followers that are behind; a storm of changes is shorter.
 MAX_ROUTE_TABLES = 32
 # How long a flow is remembered after its caller's last packet, in seconds; several of the
@@ -241,6 +243,8 @@
         if self._routes.find(head.flow.route_ip, head.flow.route_port) is None:
             return self._refuse(head.flow, "no route")
         first_seen = self._unknown_labels.setdefault(head.label, now)
+        if len(self._unknown_labels) > MAX_UNKNOWN_LABELS:
+            del self._unknown_labels[next(iter(self._unknown_labels))]
         if not self.ready or not self.list.settled(first_seen):
             return self._drop("label not listed yet")
         return self._refuse(head.flow, "label of no server")
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from marjoramford.flow_balancers import MAX_UNKNOWN_LABELS
 from marjoramford.flow_labels import LabelIndex, derive_label
 from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHead, ResetFlow
 
@@ -222,6 +223,15 @@
     assert caller.request() == ResetFlow("label of no server")
 
 
+def test_forged_labels_take_bounded_memory():
+    world = pair()
+    caller = world.caller()
+    for label in range(1, 3 * MAX_UNKNOWN_LABELS):
+        caller.label = label
+        caller.request()
+    assert len(world.balancer._unknown_labels) <= MAX_UNKNOWN_LABELS
+
+
 def test_before_the_first_routes_nothing_is_refused():
     world = pair()
     world.balancer._routes = None
