--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -159,6 +159,7 @@
 
     async def __aenter__(self) -> "PacketSite":
         self.packet_port = _free_port(socket.SOCK_DGRAM)
+        self._server_port = _free_port(socket.SOCK_DGRAM)
         self._store_server = await self.store.serve(Address(LOOPBACK, 0))
         store = Address(LOOPBACK, self._store_server.sockets[0].getsockname()[1])
         self.change_routes()
@@ -227,7 +228,7 @@
         self._next_server += 1
         number = self._next_server
         server = PacketServer(f"i-{number:08x}", service, zone, 0.02, self._random)
-        address = Address(f"127.0.50.{number}", 8000)
+        address = Address(f"127.0.50.{number}", self._server_port)
         await server.start(address, self.packet_port)
         self.servers[server.name] = server
         self.store.put(f"servers/{server.name}", server.entry())
