--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
 import signal
@@ -14,7 +13,6 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
-from typing import Literal
 
 from ..addresses import Address
 from ..entry_vms import rendezvous_order
@@ -23,8 +21,8 @@
 from ..packets import FlowKey
 from .packet_ends import CallerFlow, FlowEnd, PacketCaller, PacketServer
 from .packet_stores import PacketStore
+from .store_proxies import LOOPBACK, ProxyMode, StoreProxy
 
-LOOPBACK = "127.0.0.1"
 ROUTE_HOST = "198.18.0.1"
 ROUTE_IP = int.from_bytes(socket.inet_aton(ROUTE_HOST), "big")
 BOOKING_PORT = 443
@@ -37,68 +35,6 @@
 STABLE_SECONDS = 4.0
 DEADLINE_SECONDS = 4.0
 
-ProxyMode = Literal["pass", "delay", "reset", "silent", "one way"]
-
-
-class StoreProxy:
-    """Carries an entry VM's connections to the store, or harms them."""
-
-    def __init__(self, store: Address):
-        self._store = store
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-        self.mode: ProxyMode = "pass"
-
-    async def start(self) -> Address:
-        """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        return Address(LOOPBACK, self._server.sockets[0].getsockname()[1])
-
-    def set_mode(self, mode: ProxyMode) -> None:
-        """Changes how bytes are carried; `reset` also cuts what is open."""
-        self.mode = mode
-        if mode == "reset":
-            for writer in self._writers:
-                writer.transport.abort()
-
-    def stop(self) -> None:
-        """Closes everything."""
-        self.set_mode("reset")
-        if self._server is not None:
-            self._server.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.mode == "reset":
-            writer.transport.abort()
-            return
-        try:
-            far_reader, far_writer = await asyncio.open_connection(
-                self._store.host, self._store.port
-            )
-        except OSError:
-            writer.transport.abort()
-            return
-        ends = {writer, far_writer}
-        self._writers |= ends
-        await asyncio.gather(
-            self._carry(reader, far_writer, back=False),
-            self._carry(far_reader, writer, back=True),
-        )
-        self._writers -= ends
-
-    async def _carry(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while chunk := await reader.read(65_536):
-                if self.mode == "silent" or (self.mode == "one way" and back):
-                    continue
-                if self.mode == "delay":
-                    await asyncio.sleep(0.3)
-                writer.write(chunk)
-                await writer.drain()
-        writer.transport.abort()
-
 
 @dataclass(slots=True)
 class EntryVmProcess:
