A stop during the imports ends the process directly

An exception raised by the signal handler while an extension module is imported crashes the interpreter. Ruled out: the inherited signal mask (the handlers were set).

--- a/marjoramford/platform/__main__.py
+++ b/marjoramford/platform/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of an entry VM on the platform."""
 
+import os
 import signal
 import sys
 
@@ -8,9 +9,10 @@
     """Serves until the planned stop is complete.
 
     Signals may come during the imports. Settings are read after them, so a change needs nothing; a
-    stop before anything is served is complete at once.
+    stop before anything is served is complete at once. It must not be an exception, which crashes
+    the interpreter while an extension module is being imported.
     """
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from .entry_points import run_entry_vm
 
