The two capacity tools share the size they compute for and the way they write their table

What stood twice: the constants of the two-year size, the verdict, the markers. measure_flows.py now takes them from capacity.py. No code of the package changed.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -47,12 +47,25 @@
         check: only compare.
     """
     bench = json.loads(BENCH.read_text(encoding="utf-8"))
+    update_table(BEGIN, END, render(bench), check, "tools/capacity.py")
+
+
+def update_table(begin: str, end: str, table: str, check: bool, tool: str) -> None:
+    """Writes a computed table between two markers of the page, or exits 1 if it differs.
+
+    Args:
+        begin: marker before the table.
+        end: marker after it.
+        table: the table as Markdown.
+        check: only compare.
+        tool: what to run if the page differs.
+    """
     page = PAGE.read_text(encoding="utf-8")
-    before, rest = page.split(BEGIN)
-    after = rest.split(END)[1]
-    computed = f"{before}{BEGIN}\n\n{render(bench)}\n\n{END}{after}"
+    before, rest = page.split(begin)
+    after = rest.split(end)[1]
+    computed = f"{before}{begin}\n\n{table}\n\n{end}{after}"
     if check and computed != page:
-        print("docs/CAPACITY.md differs from the bench; run tools/capacity.py", file=sys.stderr)
+        print(f"docs/CAPACITY.md differs from what was measured; run {tool}", file=sys.stderr)
         sys.exit(1)
     if not check:
         PAGE.write_text(computed, encoding="utf-8")
@@ -114,7 +127,7 @@
         slope,
         f"{whole:.0f} MB",
         f"{MEMORY_BUDGET_MB} MB",
-        _verdict(whole <= MEMORY_BUDGET_MB),
+        verdict(whole <= MEMORY_BUDGET_MB),
     )
     services = SERVICES * COORDINATORS_PER_ZONE / (NODES / ZONES)
     servers = services * SERVERS / SERVICES
@@ -125,7 +138,7 @@
         slope,
         f"{services:.0f} services, {servers:.0f} servers, {own:.1f} MB",
         f"{MEMORY_BUDGET_MB} MB",
-        _verdict(own <= MEMORY_BUDGET_MB),
+        verdict(own <= MEMORY_BUDGET_MB),
     )
     yield (
         "probes, as built: every node probes all servers",
@@ -173,7 +186,7 @@
         f"{slope * NODES / 10:.1f}% of a core at {NODES:,}, "
         f"{slope * NODES / ZONES / 10:.1f}% at one zone's {NODES // ZONES:,}",
         f"{PROCESSOR_BUDGET_PERCENT}%",
-        _verdict(slope * NODES / 10 <= PROCESSOR_BUDGET_PERCENT),
+        verdict(slope * NODES / 10 <= PROCESSOR_BUDGET_PERCENT),
     )
     spread = points(bench, "s until a change is in force everywhere")
     (small, first), (large, last) = sorted(spread.items())[1], sorted(spread.items())[-1]
@@ -184,7 +197,7 @@
         f"{last:.1f} s at {large}, {doubling:.2f} s a doubling",
         f"{at_size:.1f} s",
         f"{SPREAD_BUDGET_SECONDS} s",
-        _verdict(at_size <= SPREAD_BUDGET_SECONDS),
+        verdict(at_size <= SPREAD_BUDGET_SECONDS),
     )
 
 
@@ -198,7 +211,7 @@
         f"{READERS_PER_ZONE} readers a zone, one read a change and reader",
         f"{calls:.0f}/s and {waiting} waiting watches",
         f"{CALLS_BUDGET}/s",
-        _verdict(calls + waiting <= CALLS_BUDGET),
+        verdict(calls + waiting <= CALLS_BUDGET),
     )
 
 
@@ -214,7 +227,8 @@
     return {int(size): value for size, value in slope["points"].items()}
 
 
-def _verdict(kept: bool) -> str:
+def verdict(kept: bool) -> str:
+    """Returns how the last column of a row reads."""
     return "yes" if kept else "**no**"
 
 
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import sys
 import time
 import tracemalloc
 from pathlib import Path
@@ -13,6 +12,21 @@
 
 import fire
 import msgspec
+from capacity import (
+    CALLS_BUDGET,
+    CONTROL_BUDGET_BYTES,
+    FLOWS,
+    MEMORY_BUDGET_MB,
+    NODES,
+    OPENS_PER_SECOND,
+    PROCESSOR_BUDGET_PERCENT,
+    SERVERS,
+    SERVICES,
+    ZONES,
+    changes_per_second,
+    update_table,
+    verdict,
+)
 
 from marjoramford.addresses import Address
 from marjoramford.entry_vms import EntryVm, MemberNews
@@ -25,21 +39,10 @@
 from marjoramford.server_lists import ListChanges
 
 ROOT = Path(__file__).parent.parent
-PAGE = ROOT / "docs" / "CAPACITY.md"
 MEASURED = ROOT / "docs" / "measurements" / "flows.json"
 BEGIN = "<!-- computed by tools/measure_flows.py -->"
 END = "<!-- end of opaque flows -->"
 
-NODES = 19_000
-SERVERS = 190_000
-SERVICES = 11_000
-ZONES = 14
-FLOWS = 500_000_000
-OPENS_PER_SECOND = 910_000
-CHANGES_PER_SECOND = 68_000 / 86_400 + 3 * 45_000 / 86_400
-CALLS_BUDGET = 2_000
-MEMORY_BUDGET_MB = 64
-PROCESSOR_BUDGET_PERCENT = 1.6
 REPEATS = 5
 MEASURED_FLOWS = 20_000
 MEASURED_SERVERS = 5_000
@@ -55,16 +58,8 @@
     """
     if not check:
         MEASURED.write_text(json.dumps(measure(), indent=1) + "\n", encoding="utf-8")
-    page = PAGE.read_text(encoding="utf-8")
-    before, rest = page.split(BEGIN)
-    after = rest.split(END)[1]
     table = render(json.loads(MEASURED.read_text(encoding="utf-8")))
-    computed = f"{before}{BEGIN}\n\n{table}\n\n{END}{after}"
-    if check and computed != page:
-        print("docs/CAPACITY.md differs from docs/measurements/flows.json", file=sys.stderr)
-        sys.exit(1)
-    if not check:
-        PAGE.write_text(computed, encoding="utf-8")
+    update_table(BEGIN, END, table, check, "tools/measure_flows.py")
 
 
 def measure() -> dict[str, float]:
@@ -131,7 +126,7 @@
     )
     members = NODES // ZONES
     readers = max(2, int(members**0.5) // 2) * ZONES
-    calls = readers * (1.0 / PeerSettings().reader_wait + CHANGES_PER_SECOND)
+    calls = readers * (1.0 / PeerSettings().reader_wait + changes_per_second())
     yield (
         "calls on the platform",
         f"{readers} readers, one watch each {PeerSettings().reader_wait} s and one a change",
@@ -155,16 +150,11 @@
         f"{measured['exchange_bytes_64_members']:,.0f} bytes and "
         f"{measured['exchange_ms_64_members']:.2f} ms each",
         f"{sent:,.0f} B/s sent, {percent:.2f}% of a core",
-        f"4096 B/s, {PROCESSOR_BUDGET_PERCENT}%",
-        verdict(sent <= 4096),
+        f"{CONTROL_BUDGET_BYTES} B/s, {PROCESSOR_BUDGET_PERCENT}%",
+        verdict(sent <= CONTROL_BUDGET_BYTES),
     )
 
 
-def verdict(kept: bool) -> str:
-    """Returns how a row reads."""
-    return "yes" if kept else "**no**"
-
-
 def median(run) -> float:
     """Returns the median of several runs."""
     return sorted(run() for _ in range(REPEATS))[REPEATS // 2]
