One guard for the tasks of both daemons; packets dropped before the first routes are counted

The guard of long-running tasks stood in both daemons; the value that FlowBalancer.take_route_changes returned was used nowhere; a packet dropped for want of routes was logged and not counted, so the metrics and the log disagreed during a start. Ruled out: a common base class of the daemons; they share nothing else. Before: test_before_the_first_routes_nothing_is_refused with the new assertion fails. After: passes. Conclusion: no change of behaviour but the counter.

--- a/marjoramford/daemons.py
+++ b/marjoramford/daemons.py
@@ -22,6 +22,7 @@
 from .peers import PeerClient
 from .probers import Prober
 from .settings import EntryVmSettings
+from .tasks import run_guarded
 from .watchers import Watcher
 
 logger = logging.getLogger(__name__)
@@ -60,7 +61,8 @@
         runner = web.AppRunner(control.make_app(), access_log=None)
         await runner.setup()
         await web.TCPSite(runner, settings.host, settings.http_port).start()
-        tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
+        stop = self._stop_at_once.set
+        tasks = [asyncio.create_task(run_guarded(job, stop)) for job in self._jobs()]
         log_event(logger, LogEvent.ENTRY_VM_STARTED, entry_vm=settings.name, zone=settings.zone)
         signals.started.send(self)
         try:
@@ -102,15 +104,6 @@
             Prober(self.core, settings).run(),
         ]
 
-    async def _guard(self, job: Coroutine) -> None:
-        """Stops the daemon, and says why, when a task fails that should not end."""
-        try:
-            await job
-        except Exception:
-            log_event(logger, LogEvent.TASK_FAILED, task=job.__qualname__)
-            logger.exception("task failed")
-            self._stop_at_once.set()
-
     async def _wait_for_stop(self) -> None:
         waits = [
             asyncio.create_task(self.core.drained.wait()),
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -84,22 +84,22 @@
         self.route_history.add(table)
         log_event(logger, LogEvent.ROUTES_APPLIED, version=table.version, routes=len(table))
 
-    def take_route_changes(self, changes: RouteChanges) -> bool:
-        """Puts changed routes in force; returns False if they do not apply to those that are."""
+    def take_route_changes(self, changes: RouteChanges) -> None:
+        """Puts changed routes in force, unless they do not apply to those that are."""
         held = self._routes
         if changes.base == 0:
             self.take_routes(RouteTable(changes.version, changes.routes, changes.idle_timeout))
-            return True
-        if held is None or held.version != changes.base:
-            return held is not None and held.version >= changes.version
-        self.take_routes(held.changed_by(changes))
-        return True
+        elif held is not None and held.version == changes.base:
+            self.take_routes(held.changed_by(changes))
 
     def take_packet(self, head: PacketHead, now: float) -> PacketAction:
         """Decides about one packet."""
         if self._routes is None:
-            return self._drop("no routes yet")
-        action = self._open_flow(head, now) if head.opens else self._continue_flow(head, now)
+            action = self._drop("no routes yet")
+        elif head.opens:
+            action = self._open_flow(head, now)
+        else:
+            action = self._continue_flow(head, now)
         self.counters[type(action).__name__] += 1
         return action
 
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from random import Random
 from urllib.parse import parse_qs, urlsplit
 
@@ -23,6 +23,7 @@
 from .peer_groups import PeerGroup
 from .published_states import StatePublisher
 from .state_readers import MemberExchange, PlatformReader, StateReader, hear_members
+from .tasks import run_guarded
 
 logger = logging.getLogger(__name__)
 
@@ -144,7 +145,7 @@
             await serve_http(Address.parse(settings.control_address), self._answer),
         ]
         jobs = [self._reader.run(), self._exchange.run(), self._run_timer(packets)]
-        tasks = [asyncio.create_task(self._guard(job)) for job in jobs]
+        tasks = [asyncio.create_task(run_guarded(job, self._fail)) for job in jobs]
         log_event(
             logger,
             LogEvent.ENTRY_VM_STARTED,
@@ -200,15 +201,9 @@
             await asyncio.sleep(TICK_SECONDS)
             packets.send_resets(time.monotonic())
 
-    async def _guard(self, job: Coroutine) -> None:
-        """Stops the process, and says why, when a task fails that should not end."""
-        try:
-            await job
-        except Exception:
-            log_event(logger, LogEvent.TASK_FAILED, task=job.__qualname__)
-            logger.exception("task failed")
-            self._failed.set()
-            self._stopping.set()
+    def _fail(self) -> None:
+        self._failed.set()
+        self._stopping.set()
 
     async def _answer(self, request: HttpRequest) -> HttpAnswer:
         parts = urlsplit(request.target)
--- /dev/null
+++ b/marjoramford/tasks.py
@@ -0,0 +1,18 @@
+"""Tasks that run as long as their process."""
+
+import logging
+from collections.abc import Callable, Coroutine
+
+from .logs import LogEvent, log_event
+
+logger = logging.getLogger(__name__)
+
+
+async def run_guarded(job: Coroutine, stop: Callable[[], object]) -> None:
+    """Runs a job; if it fails, says why and calls `stop`, since nothing works without it."""
+    try:
+        await job
+    except Exception:
+        log_event(logger, LogEvent.TASK_FAILED, task=job.__qualname__)
+        logger.exception("task failed")
+        stop()
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -236,6 +236,7 @@
     world = pair()
     world.balancer._routes = None
     assert isinstance(world.caller().open(), DropPacket)
+    assert world.balancer.counters["DropPacket"] == 1
 
 
 def test_a_server_started_again_under_its_id_gets_another_label():
