Servers and callers of opaque flows become models without I/O

Cause: the stand-ins for both ends were written on asyncio and the steady clock, so an emulator under a virtual clock would have needed a second copy of each. They now run on an Endpoint (clock, timer, socket); packet_sockets is the one on loopback. Servers gained slots, a queue and retransmission of answers. Ruled out: an asyncio loop with virtual time; stalls and frozen VMs could not be told apart in it.

--- /dev/null
+++ b/marjoramford/standins/packet_callers.py
@@ -0,0 +1,226 @@
+"""Stand-in for the callers of opaque flows: opens flows, sends requests, keeps to the timers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from socket import inet_aton
+
+from ..addresses import Address
+from ..packets import FlowKey
+from ..platform.packets import FLAG_FIN, FLAG_RST, FLAG_SYN, MAX_DATA_BYTES
+from .packet_ends import (
+    FIRST_RETRANSMISSION,
+    FLAG_ACK,
+    MAX_RETRANSMISSION,
+    SEQUENCE_MODULUS,
+    Endpoint,
+    Packet,
+)
+from .packet_servers import BUSY
+
+# Seconds after the first opening packet at which its copies follow.
+COPY_TIMES = (0.2, 0.6)
+OPEN_TIMEOUT = 1.4
+
+
+class FlowEnd(Enum):
+    """How a try ended."""
+
+    ANSWERED = "answered"
+    TURNED_AWAY = "turned away"
+    NEVER_OPENED = "never opened"
+    RESET = "reset"
+    TIMED_OUT = "timed out"
+
+
+@dataclass(slots=True)
+class CallerFlow:
+    """A flow at its caller.
+
+    Attributes:
+        server_seq: the next number expected of the server; None while the flow is not open.
+        opened_at: when the server's answer to the opening came, in seconds.
+        reset_at: when a reset came.
+        sent_at: when its first opening packet was sent.
+        on_change: is told of the end of what is being waited for.
+        waits: counts what was waited for, so that late timers are passed over.
+    """
+
+    key: FlowKey
+    seq: int
+    label: int = 0
+    server_seq: int | None = None
+    opened_at: float | None = None
+    reset_at: float | None = None
+    sent_at: float | None = None
+    answer: bytes = b""
+    on_change: Callable[[], None] | None = None
+    waits: int = 0
+
+
+class PacketCaller:
+    """Callers of one address: flows from ever new ports.
+
+    Args:
+        choose_entry_vm: names the address to which the fabric takes a flow's packet now.
+
+    Attributes:
+        on_packet: is told of each packet sent.
+        on_reset: is told of each flow that was reset.
+    """
+
+    def __init__(
+        self, ip: str, random: Random, choose_entry_vm: Callable[[FlowKey], Address | None]
+    ):
+        self.ip = int.from_bytes(inet_aton(ip), "big")
+        self.on_packet: Callable[[Packet], None] | None = None
+        self.on_reset: Callable[[CallerFlow], None] | None = None
+        self._random = random
+        self._choose_entry_vm = choose_entry_vm
+        self._flows: dict[tuple[int, int, int], CallerFlow] = {}
+        self._next_port = 1024
+        self._endpoint: Endpoint | None = None
+
+    def start(self, endpoint: Endpoint) -> None:
+        """Starts sending."""
+        self._endpoint = endpoint
+
+    def new_flow(self, route_ip: int, route_port: int) -> CallerFlow:
+        """Makes a flow from a port that was not used before."""
+        self._next_port += 1
+        key = FlowKey(self.ip, self._next_port, route_ip, route_port)
+        flow = CallerFlow(key, self._random.randrange(SEQUENCE_MODULUS))
+        self._flows[(key.caller_port, route_ip, route_port)] = flow
+        return flow
+
+    def open(self, flow: CallerFlow, done: Callable[[bool], None]) -> None:
+        """Opens a flow with copies of the opening packet; tells whether a server answered."""
+        flow.sent_at = self._endpoint.now()
+
+        def settle() -> None:
+            if flow.opened_at is not None or flow.reset_at is not None:
+                self._end_wait(flow)
+                done(flow.opened_at is not None and flow.reset_at is None)
+
+        def give_up() -> None:
+            self._end_wait(flow)
+            done(False)
+
+        wait = self._begin_wait(flow, settle)
+        self._send(flow, FLAG_SYN, ack=0)
+        for copy, at in enumerate(COPY_TIMES, start=1):
+            self._after(at, flow, wait, lambda copy=copy: self._send(flow, FLAG_SYN, ack=copy))
+        self._after(OPEN_TIMEOUT, flow, wait, give_up)
+
+    def request(
+        self, flow: CallerFlow, text: str, deadline: float, done: Callable[[FlowEnd], None]
+    ) -> None:
+        """Sends one request on an open flow, again and again until its answer is there."""
+        data = f"{text}\n".encode()[:MAX_DATA_BYTES]
+        flow.answer = b""
+
+        def end(how: FlowEnd) -> None:
+            self._end_wait(flow)
+            done(how)
+
+        def settle() -> None:
+            if flow.reset_at is not None:
+                end(FlowEnd.RESET)
+            elif flow.answer.endswith(b"\n"):
+                flow.seq = (flow.seq + len(data)) % SEQUENCE_MODULUS
+                busy = flow.answer.decode().split()[-1] == BUSY
+                end(FlowEnd.TURNED_AWAY if busy else FlowEnd.ANSWERED)
+
+        def send(pause: float) -> None:
+            self._send(flow, FLAG_ACK, data)
+            following = min(MAX_RETRANSMISSION, 2 * pause)
+            self._after(pause, flow, wait, lambda: send(following))
+
+        wait = self._begin_wait(flow, settle)
+        if flow.reset_at is not None:
+            settle()
+            return
+        remaining = deadline - self._endpoint.now()
+        self._after(max(0.0, remaining), flow, wait, lambda: end(FlowEnd.TIMED_OUT))
+        send(FIRST_RETRANSMISSION)
+
+    def close(self, flow: CallerFlow) -> None:
+        """Ends a flow."""
+        if flow.opened_at is not None and flow.reset_at is None:
+            self._send(flow, FLAG_FIN | FLAG_ACK)
+        key = flow.key
+        self._flows.pop((key.caller_port, key.route_ip, key.route_port), None)
+
+    def take_datagram(self, datagram: bytes) -> None:
+        """Takes a packet of a server, or a reset."""
+        packet = Packet.decode(datagram)
+        flow = self._flows.get((packet.dport, packet.src, packet.sport))
+        if flow is None:
+            return
+        if packet.flags & FLAG_RST:
+            flow.reset_at = self._endpoint.now()
+            if self.on_reset is not None:
+                self.on_reset(flow)
+        elif packet.flags & FLAG_SYN:
+            self._take_opened(flow, packet)
+        else:
+            flow.label = packet.echo
+            if packet.data:
+                self._take_answer(flow, packet)
+        if flow.on_change is not None:
+            flow.on_change()
+
+    def _take_opened(self, flow: CallerFlow, packet: Packet) -> None:
+        flow.label = packet.echo
+        if flow.server_seq is None:
+            flow.server_seq = (packet.seq + 1) % SEQUENCE_MODULUS
+            flow.opened_at = self._endpoint.now()
+            flow.seq = (flow.seq + 1) % SEQUENCE_MODULUS
+        self._send(flow, FLAG_ACK)
+
+    def _take_answer(self, flow: CallerFlow, packet: Packet) -> None:
+        if packet.seq == flow.server_seq:
+            flow.server_seq = (flow.server_seq + len(packet.data)) % SEQUENCE_MODULUS
+            flow.answer += packet.data
+        self._send(flow, FLAG_ACK)
+
+    def _begin_wait(self, flow: CallerFlow, settle: Callable[[], None]) -> int:
+        flow.on_change = settle
+        flow.waits += 1
+        return flow.waits
+
+    def _end_wait(self, flow: CallerFlow) -> None:
+        flow.on_change = None
+        flow.waits += 1
+
+    def _after(self, seconds: float, flow: CallerFlow, wait: int, call: Callable[[], None]) -> None:
+        """Makes a call later, if the flow is then still in the same wait."""
+
+        def call_if_waiting() -> None:
+            if flow.waits == wait:
+                call()
+
+        self._endpoint.after(seconds, call_if_waiting)
+
+    def _send(
+        self, flow: CallerFlow, flags: int, data: bytes = b"", ack: int | None = None
+    ) -> None:
+        key = flow.key
+        opening = bool(flags & FLAG_SYN)
+        packet = Packet(
+            key.caller_ip,
+            key.caller_port,
+            key.route_ip,
+            key.route_port,
+            0 if opening else flow.label,
+            flags,
+            flow.seq,
+            ack if opening else flow.server_seq or 0,
+            data,
+        )
+        if self.on_packet is not None:
+            self.on_packet(packet)
+        address = self._choose_entry_vm(key)
+        if address is not None:
+            self._endpoint.send(packet.encode(), address)
--- /dev/null
+++ b/marjoramford/standins/packet_servers.py
@@ -0,0 +1,235 @@
+"""Stand-in for a backend server of opaque flows: runs each request once, in its slots.
+
+A request is one line of text in a flow. The answer repeats it, and names the service and the
+server, or says that the server was too busy to run it.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from ..addresses import Address
+from ..flow_labels import derive_label
+from ..packets import FlowKey, format_ip
+from ..platform.packets import FLAG_FIN, FLAG_RST, FLAG_SYN, SERVER_ID, server_number
+from .packet_ends import (
+    FIRST_RETRANSMISSION,
+    FLAG_ACK,
+    MAX_RETRANSMISSION,
+    SEQUENCE_MODULUS,
+    Endpoint,
+    Packet,
+)
+
+SLOTS = 2
+QUEUE_LIMIT = 8
+# Retransmissions of an answer before the server gives the flow up.
+MAX_RETRANSMISSIONS = 8
+BUSY = "busy"
+
+
+@dataclass(slots=True)
+class ServerFlow:
+    """A flow at a server.
+
+    Attributes:
+        answer: bytes sent that the caller has not acknowledged.
+    """
+
+    opened: bool
+    seq: int
+    expected: int
+    echo: int
+    received: bytes = b""
+    answer: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A flow that opened here."""
+
+    flow: FlowKey
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request that waits for a slot or holds one."""
+
+    key: FlowKey
+    flow: ServerFlow
+    request: str
+
+
+class PacketServer:
+    """A backend server.
+
+    Attributes:
+        runs: how often each request ran.
+        openings: flows that opened here, in order.
+        on_packet: is told of each packet that was meant for this server.
+    """
+
+    def __init__(self, name: str, service: str, zone: str, work_seconds: float, random: Random):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.work_seconds = work_seconds
+        self.runs: Counter[str] = Counter()
+        self.openings: list[Opening] = []
+        self.counters: Counter[str] = Counter()
+        self.address: Address | None = None
+        self.on_packet: Callable[[PacketServer, Packet], None] | None = None
+        self._number = server_number(name)
+        self._random = random
+        self._flows: dict[FlowKey, ServerFlow] = {}
+        self._queue: deque[Work] = deque()
+        self._busy = 0
+        self._endpoint: Endpoint | None = None
+
+    @property
+    def label(self) -> int:
+        """The label of its flows."""
+        return derive_label(self.name, 0)
+
+    @property
+    def alive(self) -> bool:
+        """Whether it runs."""
+        return self._endpoint is not None
+
+    def start(self, endpoint: Endpoint, address: Address, caller_port: int) -> None:
+        """Starts at an address; callers receive at `caller_port`."""
+        self._endpoint = endpoint
+        self.address = address
+        self._caller_port = caller_port
+
+    def crash(self) -> None:
+        """Ends without a word."""
+        self._endpoint = None
+        self._flows.clear()
+
+    def holds(self, key: FlowKey) -> bool:
+        """Tells whether a flow is open here."""
+        flow = self._flows.get(key)
+        return flow is not None and flow.opened
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns what the server says of itself in the store."""
+        return {
+            "service": self.service,
+            "address": str(self.address),
+            "zone": self.zone,
+            "version": "v1",
+            "slots": SLOTS,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+        }
+
+    def take_datagram(self, datagram: bytes) -> None:
+        """Takes a packet that an entry VM sent on."""
+        if datagram[: SERVER_ID.size] not in (self._number, bytes(SERVER_ID.size)):
+            self.counters["for another server"] += 1
+            return
+        packet = Packet.decode(datagram[SERVER_ID.size :])
+        if self.on_packet is not None:
+            self.on_packet(self, packet)
+        key = packet.caller_flow
+        flow = self._flows.get(key)
+        if packet.flags & FLAG_SYN:
+            self._take_opening(key, flow, packet)
+        elif flow is None:
+            self.counters["packets of no flow"] += 1
+            self._send(key, ServerFlow(False, packet.ack, 0, packet.echo), FLAG_RST)
+        else:
+            self._take(key, flow, packet)
+
+    def _take_opening(self, key: FlowKey, flow: ServerFlow | None, packet: Packet) -> None:
+        if flow is None:
+            seq = self._random.randrange(SEQUENCE_MODULUS)
+            flow = ServerFlow(False, seq, (packet.seq + 1) % SEQUENCE_MODULUS, packet.echo)
+            self._flows[key] = flow
+        flow.echo = packet.echo
+        self._send(key, flow, FLAG_SYN | FLAG_ACK)
+
+    def _take(self, key: FlowKey, flow: ServerFlow, packet: Packet) -> None:
+        flow.echo = packet.echo
+        if not flow.opened:
+            if packet.ack != (flow.seq + 1) % SEQUENCE_MODULUS:
+                return
+            flow.opened = True
+            flow.seq = packet.ack
+            self.openings.append(Opening(key, self._endpoint.now()))
+        if flow.answer and packet.ack == (flow.seq + len(flow.answer)) % SEQUENCE_MODULUS:
+            flow.seq = packet.ack
+            flow.answer = b""
+        if packet.data:
+            self._take_data(key, flow, packet)
+        if packet.flags & FLAG_FIN:
+            self._send(key, flow, FLAG_FIN | FLAG_ACK)
+            self._flows.pop(key, None)
+
+    def _take_data(self, key: FlowKey, flow: ServerFlow, packet: Packet) -> None:
+        if packet.seq == flow.expected:
+            flow.expected = (flow.expected + len(packet.data)) % SEQUENCE_MODULUS
+            flow.received += packet.data
+            if flow.received.endswith(b"\n"):
+                work = Work(key, flow, flow.received.decode().strip())
+                flow.received = b""
+                self._accept(work)
+        self._send(key, flow, FLAG_ACK)
+
+    def _accept(self, work: Work) -> None:
+        if self._busy < SLOTS:
+            self._run(work)
+        elif len(self._queue) < QUEUE_LIMIT:
+            self._queue.append(work)
+        else:
+            self.counters["turned away"] += 1
+            self._answer(work, BUSY)
+
+    def _run(self, work: Work) -> None:
+        self._busy += 1
+        self.runs[work.request] += 1
+        self._endpoint.after(self.work_seconds, lambda: self._finish(work))
+
+    def _finish(self, work: Work) -> None:
+        if not self.alive:
+            return
+        self._busy -= 1
+        self._answer(work, self.name)
+        if self._queue:
+            self._run(self._queue.popleft())
+
+    def _answer(self, work: Work, verdict: str) -> None:
+        flow = work.flow
+        flow.answer = f"{work.request} {self.service} {verdict}\n".encode()
+        self._send_answer(work.key, flow, flow.answer, 0)
+
+    def _send_answer(self, key: FlowKey, flow: ServerFlow, answer: bytes, repeats: int) -> None:
+        """Sends an answer again and again until the caller acknowledges it."""
+        if flow.answer is not answer or not self.alive:
+            return
+        if repeats > MAX_RETRANSMISSIONS or self._flows.get(key) is not flow:
+            return
+        self._send(key, flow, FLAG_ACK, answer)
+        pause = min(MAX_RETRANSMISSION, FIRST_RETRANSMISSION * 2**repeats)
+        self._endpoint.after(pause, lambda: self._send_answer(key, flow, answer, repeats + 1))
+
+    def _send(self, key: FlowKey, flow: ServerFlow, flags: int, data: bytes = b"") -> None:
+        packet = Packet(
+            key.route_ip,
+            key.route_port,
+            key.caller_ip,
+            key.caller_port,
+            flow.echo,
+            flags,
+            flow.seq,
+            flow.expected,
+            data,
+        )
+        if self._endpoint is not None:
+            self._endpoint.send(
+                packet.encode(), Address(format_ip(key.caller_ip), self._caller_port)
+            )
--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -19,7 +19,9 @@
 from ..errors import Step
 from ..http_calls import HttpClient
 from ..packets import FlowKey
-from .packet_ends import CallerFlow, FlowEnd, PacketCaller, PacketServer
+from .packet_callers import CallerFlow, FlowEnd, PacketCaller
+from .packet_servers import PacketServer
+from .packet_sockets import LoopbackEndpoint, wait_for
 from .packet_stores import PacketStore
 from .store_proxies import LOOPBACK, ProxyMode, StoreProxy
 
@@ -90,6 +92,7 @@
         self.servers: dict[str, PacketServer] = {}
         self.ended: dict[str, PacketServer] = {}
         self.callers: list[PacketCaller] = []
+        self._endpoints: dict[str, LoopbackEndpoint] = {}
         self.findings = SiteFindings()
         self.started_at = time.monotonic()
 
@@ -121,10 +124,8 @@
             if vm.process is not None:
                 await vm.process.wait()
             vm.proxy.stop()
-        for server in self.servers.values():
-            server.crash()
-        for caller in self.callers:
-            caller.stop()
+        for endpoint in self._endpoints.values():
+            endpoint.close()
         self._store_server.close()
 
     def note(self, text: str) -> None:
@@ -165,7 +166,9 @@
         number = self._next_server
         server = PacketServer(f"i-{number:08x}", service, zone, 0.02, self._random)
         address = Address(f"127.0.50.{number}", self._server_port)
-        await server.start(address, self.packet_port)
+        endpoint = await LoopbackEndpoint.open(address, server.take_datagram)
+        self._endpoints[server.name] = endpoint
+        server.start(endpoint, address, self.packet_port)
         self.servers[server.name] = server
         self.store.put(f"servers/{server.name}", server.entry())
         return server
@@ -176,7 +179,7 @@
         drained_at = time.monotonic()
         self.store.put(f"servers/{server.name}", server.entry("draining"))
         await asyncio.sleep(DRAIN_BOUND + 1.0)
-        late = [at for at in server.openings if at > drained_at + DRAIN_BOUND]
+        late = [each for each in server.openings if each.at > drained_at + DRAIN_BOUND]
         undisturbed = self.store_disturbed_at + STABLE_SECONDS < drained_at
         if late and undisturbed:
             self.violate(f"{server.name} took {len(late)} flows after its drain bound")
@@ -223,10 +226,10 @@
         deadline = time.monotonic() + DEADLINE_SECONDS
         if flow is None or flow.reset_at is not None:
             flow = caller.new_flow(ROUTE_IP, port)
-            if not await caller.open(flow):
+            if not await wait_for(lambda done: caller.open(flow, done)):
                 caller.close(flow)
                 return FlowEnd.NEVER_OPENED, None
-        end = await caller.request(flow, text, deadline)
+        end = await wait_for(lambda done: caller.request(flow, text, deadline, done))
         self._check(flow, text, port, end)
         if end is not FlowEnd.ANSWERED:
             caller.close(flow)
@@ -258,7 +261,9 @@
 
     async def _start_caller(self, ip: str, zone: str) -> None:
         caller = PacketCaller(ip, self._random, lambda key: self._choose_vm(key, zone))
-        await caller.start(self.packet_port)
+        address = Address(ip, self.packet_port)
+        self._endpoints[ip] = await LoopbackEndpoint.open(address, caller.take_datagram)
+        caller.start(self._endpoints[ip])
         self.callers.append(caller)
 
     def _choose_vm(self, key: FlowKey, zone: str) -> Address | None:
@@ -271,6 +276,7 @@
 
     def _end_server(self, server: PacketServer) -> None:
         server.crash()
+        self._endpoints[server.name].close()
         if self.servers.pop(server.name, None) is not None:
             self.ended[server.name] = server
 
--- a/marjoramford/standins/packet_soaks.py
+++ b/marjoramford/standins/packet_soaks.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from random import Random
 
-from .packet_ends import FlowEnd, PacketCaller
+from .packet_callers import FlowEnd, PacketCaller
 from .packet_sites import BOOKING_PORT, MANIFEST_PORT, PacketSite, SiteFindings
 
 CALM_SECONDS = 6.0
--- /dev/null
+++ b/marjoramford/standins/packet_sockets.py
@@ -0,0 +1,53 @@
+"""Ends of opaque flows on loopback sockets."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from ..addresses import Address
+
+
+class LoopbackEndpoint(asyncio.DatagramProtocol):
+    """Clock, timer and UDP socket of one end."""
+
+    def __init__(self, take: Callable[[bytes], None]):
+        self._take = take
+        self._transport: asyncio.DatagramTransport | None = None
+
+    @classmethod
+    async def open(cls, address: Address, take: Callable[[bytes], None]) -> "LoopbackEndpoint":
+        """Opens a socket; `take` gets each datagram."""
+        loop = asyncio.get_running_loop()
+        endpoint = cls(take)
+        endpoint._transport, _ = await loop.create_datagram_endpoint(
+            lambda: endpoint, local_addr=(address.host, address.port)
+        )
+        return endpoint
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._transport.close()
+
+    def now(self) -> float:
+        """Returns the steady clock in seconds."""
+        return time.monotonic()
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        """Makes a call some time from now."""
+        asyncio.get_running_loop().call_later(seconds, call)
+
+    def send(self, datagram: bytes, address: Address) -> None:
+        """Sends a datagram, unless the socket is closed."""
+        if not self._transport.is_closing():
+            self._transport.sendto(datagram, (address.host, address.port))
+
+    def datagram_received(self, datagram: bytes, _address: tuple[str, int]) -> None:
+        """Takes a datagram."""
+        self._take(datagram)
+
+
+async def wait_for(start: Callable[[Callable], None]):
+    """Starts what ends in a call with one value, and waits for the value."""
+    future = asyncio.get_running_loop().create_future()
+    start(lambda value: None if future.cancelled() else future.set_result(value))
+    return await future
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from marjoramford.standins.packet_ends import CallerFlow, FlowEnd, PacketServer, ServerFlow
+from marjoramford.standins.packet_callers import CallerFlow, FlowEnd
+from marjoramford.standins.packet_servers import PacketServer, ServerFlow
 from marjoramford.standins.packet_sites import BOOKING_PORT, PacketSite
 from marjoramford.standins.packet_soaks import run_soak
 
