--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -3,10 +3,11 @@
 import logging
 from collections import defaultdict, deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .addresses import Address
 from .logs import LogEvent, log_event
 from .records import VmRecord
@@ -40,8 +41,7 @@
     return deque(maxlen=OWN_HISTORY)
 
 
-@dataclass(slots=True)
-class WorkTime:
+class WorkTime(msgspec.Struct, eq=False):
     """How long a service's requests take, as this entry VM saw it, in seconds."""
 
     mean: float = DEFAULT_WORK_SECONDS
@@ -68,8 +68,7 @@
             self.deviation += weight * (abs(difference) - self.deviation)
 
 
-@dataclass(slots=True)
-class BackendServer:
+class BackendServer(msgspec.Struct, eq=False):
     """One incarnation of a backend server.
 
     Attributes:
@@ -108,8 +107,8 @@
     open_flows: int = 0
     unlisted_since: float | None = None
     separable: bool = True
-    responsiveness: Responsiveness = field(default_factory=Responsiveness, repr=False)
-    _own_history: deque[tuple[float, int]] = field(default_factory=_make_history, repr=False)
+    responsiveness: Responsiveness = msgspec.field(default_factory=Responsiveness)
+    _own_history: deque[tuple[float, int]] = msgspec.field(default_factory=_make_history)
 
     @property
     def takes_work(self) -> bool:
--- a/marjoramford/balancers.py
+++ b/marjoramford/balancers.py
@@ -4,9 +4,11 @@
 handled, carries out the actions, and calls `handle` with `Tick` no later than `next_tick_at`.
 """
 
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from .actions import Action
 from .addresses import Address
 from .admissions import FlowAdmission
@@ -166,13 +168,13 @@
         """Returns the state as plain data, for operators."""
         node = self._node
         return {
-            "entry_vm": asdict(node.own) | {"draining_until": node.draining_until},
+            "entry_vm": msgspec.structs.asdict(node.own) | {"draining_until": node.draining_until},
             "catalogue_through": node.catalogue.through,
             "vms_through": node.vm_list.through,
             "flows": len(node.flows),
             "running": self._coordinator.running,
             "waiting": self._coordinator.waiting,
-            "entry_vms": [asdict(vm) for vm in node.entry_vms.others()],
+            "entry_vms": [msgspec.structs.asdict(vm) for vm in node.entry_vms.others()],
             "backend_servers": [_public(server) for server in node.servers.values()],
             "catalogue": [entry.name for entry in node.catalogue.values() if not entry.retired],
             "retired": [entry.name for entry in node.catalogue.values() if entry.retired],
@@ -231,7 +233,7 @@
 
 
 def _public(aggregate) -> dict[str, object]:
-    fields = asdict(aggregate)
+    fields = msgspec.structs.asdict(aggregate)
     return {name: value for name, value in fields.items() if not name.startswith("_")}
 
 
--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -5,7 +5,6 @@
 
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass
 from itertools import islice
 from typing import Literal
 
@@ -15,7 +14,6 @@
 from .addresses import Address
 from .logs import LogEvent, log_event
 from .records import VmRecord
-from .tokens import Coordinator
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +21,13 @@
 _USABLE = ("alive", "suspect", "leaving")
 
 
+class Coordinator(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """The incarnation of an entry VM that alone decides on a flow's requests."""
+
+    entry_vm: str
+    incarnation: int
+
+
 class MemberNews(msgspec.Struct, frozen=True, omit_defaults=True):
     """One entry VM as another saw it.
 
@@ -40,8 +45,7 @@
     successor: Coordinator | None = None
 
 
-@dataclass(slots=True)
-class EntryVm:
+class EntryVm(msgspec.Struct, eq=False):
     """An entry VM as this one sees it.
 
     Attributes:
@@ -82,20 +86,17 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Here:
+class Here(msgspec.Struct, frozen=True):
     """This entry VM's own incarnation coordinates."""
 
 
-@dataclass(frozen=True, slots=True)
-class Elsewhere:
+class Elsewhere(msgspec.Struct, frozen=True):
     """Another entry VM coordinates; relay to its address."""
 
     address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class Lost:
+class Lost(msgspec.Struct, frozen=True):
     """The coordinator is gone, as far as is known."""
 
 
--- a/marjoramford/errors.py
+++ b/marjoramford/errors.py
@@ -1,8 +1,9 @@
 """Typed errors; each names the step and the peer at which it arose."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 
 class Step(StrEnum):
     """The step of the data path or control path at which an error arose."""
@@ -21,8 +22,7 @@
     OPERATE = "operate"
 
 
-@dataclass(frozen=True, slots=True)
-class StepError:
+class StepError(msgspec.Struct, frozen=True):
     """An error with the step and the peer (``host:port`` or an identifier) where it arose."""
 
     step: Step
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -6,9 +6,10 @@
 
 import logging
 from collections import Counter
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from .backend_servers import BackendServer
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_placement, log_silence
@@ -34,8 +35,7 @@
 CLOSED_FLOW_SECONDS = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class FlowReset:
+class FlowReset(msgspec.Struct, frozen=True):
     """A reset that no packet called for."""
 
     flow: FlowKey
--- a/marjoramford/forwarders.py
+++ b/marjoramford/forwarders.py
@@ -11,7 +11,7 @@
 from .admissions import FlowAdmission, relay
 from .backend_servers import BackendServer
 from .coordinators import RequestCoordinator
-from .entry_vms import Elsewhere, Here, Lost, Whereabouts
+from .entry_vms import Coordinator, Elsewhere, Here, Lost, Whereabouts
 from .keys import Purpose
 from .logs import LogEvent, log_event
 from .messages import (
@@ -36,7 +36,7 @@
     encode,
 )
 from .nodes import Node
-from .tokens import Coordinator, Label, Token, seal_label, seal_token, verify_label, verify_token
+from .tokens import Label, Token, seal_label, seal_token, verify_label, verify_token
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -9,13 +9,12 @@
 from .actions import Action, DrainFinished, ReplyHandover, SendHandover
 from .addresses import Address
 from .coordinators import RequestCoordinator
-from .entry_vms import EntryVm, rendezvous_order
+from .entry_vms import Coordinator, EntryVm, rendezvous_order
 from .events import HandoverReceived, HandoverReplied
 from .invariants import Invariant
 from .logs import LogEvent, log_event
 from .nodes import Node
 from .requests import Answered, Flow, Refused, RequestRecord, Unknown
-from .tokens import Coordinator
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/http_calls.py
+++ b/marjoramford/http_calls.py
@@ -1,9 +1,9 @@
 """HTTP/1.1 calls over one kept connection, with little memory: h11 on asyncio streams."""
 
 import asyncio
-from dataclasses import dataclass
 
 import h11
+import msgspec
 from result import Err, Ok, Result
 
 from .addresses import Address
@@ -13,8 +13,7 @@
 MAX_BODY_BYTES = 4 * 1_048_576
 
 
-@dataclass(frozen=True, slots=True)
-class HttpReply:
+class HttpReply(msgspec.Struct, frozen=True):
     """A whole answer."""
 
     status: int
--- a/marjoramford/http_services.py
+++ b/marjoramford/http_services.py
@@ -3,9 +3,9 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import h11
+import msgspec
 
 from .addresses import Address
 
@@ -17,8 +17,7 @@
 IDLE_SECONDS = 30.0
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, frozen=True):
     """A request with its whole body."""
 
     method: str
@@ -26,8 +25,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpAnswer(msgspec.Struct, frozen=True):
     """What to answer."""
 
     status: int
--- a/marjoramford/nodes.py
+++ b/marjoramford/nodes.py
@@ -8,14 +8,14 @@
 from .budgets import TokenBucket
 from .choosers import Policy
 from .doubts import Doubts
-from .entry_vms import EntryVm, EntryVms
+from .entry_vms import Coordinator, EntryVm, EntryVms
 from .flows import FlowTable
 from .invariants import Invariants
 from .keys import KeyRing
 from .limits import LimitShares, Want
-from .records import CatalogueEntry, RecordStore, VmRecord
+from .record_stores import RecordStore
+from .records import CatalogueEntry, VmRecord
 from .settings import CoreSettings
-from .tokens import Coordinator
 
 
 @dataclass(slots=True)
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -4,7 +4,8 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+import msgspec
 
 from .backend_servers import BackendServer
 from .flow_labels import derive_label
@@ -23,8 +24,7 @@
     return (later - earlier + (SEQUENCE_MODULUS >> 1)) % SEQUENCE_MODULUS - (SEQUENCE_MODULUS >> 1)
 
 
-@dataclass(slots=True)
-class RetransmissionRounds:
+class RetransmissionRounds(msgspec.Struct, eq=False):
     """Rounds in which a caller sends data again that was not acknowledged.
 
     A round counts if the oldest data of the round before is in it again: then nothing has arrived.
@@ -62,8 +62,7 @@
         self.count = 0
 
 
-@dataclass(slots=True)
-class PacketFlow:
+class PacketFlow(msgspec.Struct, eq=False):
     """One flow whose packets come through this entry VM.
 
     Attributes:
@@ -90,7 +89,7 @@
     active_at: float
     tried: tuple[BackendServer, ...] = ()
     waiting_since: float | None = None
-    rounds: RetransmissionRounds = field(default_factory=RetransmissionRounds)
+    rounds: RetransmissionRounds = msgspec.field(default_factory=RetransmissionRounds)
     acknowledged: int = 0
     next_sequence: int = 0
     window_start: int = 0
--- a/marjoramford/packets.py
+++ b/marjoramford/packets.py
@@ -4,9 +4,10 @@
 read. An entry VM sees the packets of the caller alone; the server answers the caller directly.
 """
 
-from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+import msgspec
+
 from .addresses import Address
 from .backend_servers import BackendServer
 
@@ -24,8 +25,7 @@
         return f"{caller}>{format_ip(self.route_ip)}:{self.route_port}"
 
 
-@dataclass(frozen=True, slots=True)
-class PacketHead:
+class PacketHead(msgspec.Struct, frozen=True):
     """What an entry VM reads of a caller's packet.
 
     Attributes:
@@ -48,23 +48,20 @@
     data_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
-class Forward:
+class Forward(msgspec.Struct, frozen=True):
     """Send the packet to a backend server with a label."""
 
     server: BackendServer
     label: int
 
 
-@dataclass(frozen=True, slots=True)
-class ResetFlow:
+class ResetFlow(msgspec.Struct, frozen=True):
     """Tell the caller that its flow is over."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class DropPacket:
+class DropPacket(msgspec.Struct, frozen=True):
     """Do nothing; the caller sends the packet again."""
 
     reason: str
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -8,9 +8,10 @@
 import logging
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from .addresses import Address
 from .entry_vms import EntryVm, EntryVms, MemberNews, rendezvous_order
 from .flow_settings import PeerSettings
@@ -18,23 +19,20 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class ReadPlatform:
+class ReadPlatform(msgspec.Struct, frozen=True):
     """Read the platform; `wait` seconds for a change."""
 
     wait: float
 
 
-@dataclass(frozen=True, slots=True)
-class FollowPeer:
+class FollowPeer(msgspec.Struct, frozen=True):
     """Take the state from another entry VM; `wait` seconds for a change."""
 
     address: Address
     wait: float
 
 
-@dataclass(frozen=True, slots=True)
-class PauseReading:
+class PauseReading(msgspec.Struct, frozen=True):
     """Nothing can be asked before `until` (steady clock, seconds)."""
 
     until: float
--- a/marjoramford/records.py
+++ b/marjoramford/records.py
@@ -1,18 +1,14 @@
-"""Records that the platform publishes, and the monotonic store that every entry VM keeps of them.
+"""Records that the platform publishes.
 
 A record has a key and a revision that the platform gave to its last change. Revisions rise over
-the whole collection, so a store that has taken every change up to `through` can be brought up to
-date by any other store, and applying a change twice or late has no effect.
+the whole collection.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import Annotated, Generic, Literal, Protocol, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
 from result import Err, Ok, Result
-from sortedcontainers import SortedDict
 
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Revision = Annotated[int, Meta(ge=1)]
@@ -101,80 +97,10 @@
         return self.name
 
 
-class Record(Protocol):
-    """What a record store needs of a record."""
+T = TypeVar("T")
 
-    revision: int
 
-    @property
-    def key(self) -> str:
-        """The record's key in its collection."""
-
-
-R = TypeVar("R", bound=Record)
-
-
-@dataclass(frozen=True, slots=True)
-class Batch(Generic[R]):
-    """Records in order of revision; with them a store has every change up to `through`."""
-
-    records: tuple[R, ...]
-    through: int
-
-
-class RecordStore(Generic[R]):
-    """The newest known record of each key; a key's revision never falls."""
-
-    def __init__(self) -> None:
-        self._through = 0
-        self._by_key: dict[str, R] = {}
-        self._by_revision: SortedDict = SortedDict()
-
-    @property
-    def through(self) -> int:
-        """The revision up to which no change is missing."""
-        return self._through
-
-    def __len__(self) -> int:
-        return len(self._by_key)
-
-    def get(self, key: str) -> R | None:
-        """Returns the newest record of a key."""
-        return self._by_key.get(key)
-
-    def values(self) -> Iterable[R]:
-        """Returns the newest record of every key, retired ones included."""
-        return self._by_key.values()
-
-    def apply(self, record: R) -> bool:
-        """Takes a record if it is newer than the one held; tells whether it was."""
-        held = self._by_key.get(record.key)
-        if held is not None:
-            if record.revision <= held.revision:
-                return False
-            del self._by_revision[held.revision]
-        self._by_key[record.key] = record
-        self._by_revision[record.revision] = record
-        return True
-
-    def advance(self, through: int) -> None:
-        """Notes that no change up to `through` is missing."""
-        self._through = max(self._through, through)
-
-    def since(self, after: int, limit: int) -> Batch[R]:
-        """Returns at most `limit` records changed after revision `after`.
-
-        Records beyond `through` are left out: the receiver could not tell what is missing between.
-        """
-        chosen = []
-        for revision in self._by_revision.irange(after + 1, self._through):
-            if len(chosen) == limit:
-                return Batch(tuple(chosen), chosen[-1].revision)
-            chosen.append(self._by_revision[revision])
-        return Batch(tuple(chosen), self._through)
-
-
-def decode_record(raw: bytes, record_type: type[R]) -> Result[R, str]:
+def decode_record(raw: bytes, record_type: type[T]) -> Result[T, str]:
     """Decodes and checks one record from JSON."""
     try:
         return Ok(msgspec.json.decode(raw, type=record_type))
--- a/marjoramford/routes.py
+++ b/marjoramford/routes.py
@@ -1,19 +1,18 @@
 """Routes: which service the flows to a public address open at."""
 
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+
+class WeightedService(msgspec.Struct, frozen=True):
     """One service of a route and its share of new flows."""
 
     name: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """A public address and the services behind it.
 
     Attributes:
@@ -35,8 +34,7 @@
         return random.choices(self.services, weights)[0].name
 
 
-@dataclass(frozen=True, slots=True)
-class RouteChanges:
+class RouteChanges(msgspec.Struct, frozen=True):
     """What turns one version of the routes into another.
 
     Attributes:
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -6,7 +6,8 @@
 """
 
 import logging
-from dataclasses import dataclass
+
+import msgspec
 
 from .backend_servers import BackendServer, BackendServers
 from .flow_labels import LabelIndex
@@ -20,16 +21,14 @@
 MAX_REMOVALS = 1024
 
 
-@dataclass(frozen=True, slots=True)
-class GoneServer:
+class GoneServer(msgspec.Struct, frozen=True):
     """A server that is gone, kept while packets of its flows may still come."""
 
     server: BackendServer
     forgotten_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class ListChanges:
+class ListChanges(msgspec.Struct, frozen=True):
     """What changed on the list after a revision.
 
     Attributes:
--- a/marjoramford/silences.py
+++ b/marjoramford/silences.py
@@ -8,13 +8,13 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from .flow_settings import SilenceSettings
 
 
-@dataclass(slots=True)
-class Responsiveness:
+class Responsiveness(msgspec.Struct, eq=False):
     """One entry VM's evidence that a server answers, over all flows to it.
 
     Attributes:
@@ -79,8 +79,7 @@
         return full and now - losses[0] <= self._settings.lossy_seconds
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
+class Standing(msgspec.Struct, frozen=True):
     """What the published list says of a server.
 
     Attributes:
--- a/marjoramford/standins/platform_models.py
+++ b/marjoramford/standins/platform_models.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from ..records import CatalogueEntry, RecordStore, VmRecord
+from ..record_stores import RecordStore
+from ..records import CatalogueEntry, VmRecord
 
 
 class PlatformModel:
--- a/marjoramford/tokens.py
+++ b/marjoramford/tokens.py
@@ -4,16 +4,10 @@
 from result import Err, Ok, Result
 
 from .addresses import Address
+from .entry_vms import Coordinator
 from .keys import KeyRing, Purpose
 
 
-class Coordinator(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """The incarnation of an entry VM that alone decides on a flow's requests."""
-
-    entry_vm: str
-    incarnation: int
-
-
 class Token(msgspec.Struct, frozen=True, array_like=True):
     """What any entry VM needs to forward a flow's datagrams without memory of the flow.
 
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -12,7 +12,8 @@
 from marjoramford.experiments import Experiment, Plan
 from marjoramford.forwarders import Forwarder
 from marjoramford.messages import NotRun, encode
-from marjoramford.records import KindRules, RecordStore
+from marjoramford.record_stores import RecordStore
+from marjoramford.records import KindRules
 from marjoramford.requests import Refused, RequestRecord
 from marjoramford.standins.deployments import DEPLOYMENTS, GRIEVANCE, HERITAGE
 from marjoramford.standins.faults import PlatformStale, provoke
--- a/tests/test_records.py
+++ b/tests/test_record_stores.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.records import RecordStore
+from marjoramford.record_stores import RecordStore
 from marjoramford.standins.deployments import HERITAGE
 
 BASE = HERITAGE.services[0].entry("o", 1, 1)
