Nothing that reaches an entry VM for opaque flows ends one of its tasks

Cause: found by fuzzing the borders. A value in the store with deep nesting raised RecursionError out of the task that reads the platform, which ends the process, on every entry VM at once. So did a peer's answer, and news of a member whose address cannot be called (a host name that is none, idna's UnicodeError). A follower's wait=nan would have entered the event loop's timers. An entry whose zone or id is no valid name was taken, and followers then refused every answer that held it. Weights that add up to infinity failed at each opening packet. Ruled out: catching everything in the tasks; each border now decodes by one function (decode_json) or says which errors an address may raise. Before: 26 of the cases in tests/test_platform_borders.py fail; after: none.

--- a/marjoramford/http_calls.py
+++ b/marjoramford/http_calls.py
@@ -13,6 +13,11 @@
 MAX_BODY_BYTES = 4 * 1_048_576
 
 
+# An address from outside may hold a name or a port that cannot be used at all.
+_UNUSABLE_ADDRESS = (ValueError, OverflowError)
+_FAILURES = (OSError, TimeoutError, EOFError, h11.ProtocolError, *_UNUSABLE_ADDRESS)
+
+
 class HttpReply(msgspec.Struct, frozen=True):
     """A whole answer."""
 
@@ -54,7 +59,7 @@
         try:
             async with asyncio.timeout(timeout):
                 reply = await self._exchange(method, target, body)
-        except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
+        except _FAILURES as error:
             self.close()
             reason = str(error) or type(error).__name__
             return Err(StepError(self._step, str(self._address), reason))
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -7,9 +7,11 @@
 import time
 from collections.abc import Callable
 from random import Random
-from urllib.parse import parse_qs, urlsplit
+from typing import Annotated
+from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from .addresses import Address
@@ -96,6 +98,20 @@
             logger.debug("sending to %s failed: %r", address, error)
 
 
+class _FollowerQuestion(msgspec.Struct, frozen=True):
+    """What another entry VM asks for.
+
+    Attributes:
+        after: revision of the server list that it has.
+        routes: version of the routes that it has.
+        wait: how long to wait for a change, in seconds.
+    """
+
+    after: int
+    routes: int
+    wait: Annotated[float, Meta(ge=0)]
+
+
 class PacketVm:
     """One entry VM for opaque flows.
 
@@ -206,13 +222,16 @@
         self._stopping.set()
 
     async def _answer(self, request: HttpRequest) -> HttpAnswer:
-        parts = urlsplit(request.target)
+        try:
+            parts = urlsplit(request.target)
+        except ValueError:
+            return HttpAnswer(400)
         match parts.path:
             case "/v1/ready":
                 ready = self.balancer.ready and not self._stopping.is_set()
                 return HttpAnswer(200 if ready else 503, b"{}")
             case "/v1/published":
-                return await self._answer_follower(parse_qs(parts.query))
+                return await self._answer_follower(dict(parse_qsl(parts.query)))
             case "/v1/members" if request.method == "POST":
                 if not hear_members(self._group, request.body):
                     return HttpAnswer(400)
@@ -229,14 +248,14 @@
                 return HttpAnswer(200, dump_state(self.balancer, self._group))
         return HttpAnswer(404)
 
-    async def _answer_follower(self, query: dict[str, list[str]]) -> HttpAnswer:
+    async def _answer_follower(self, query: dict[str, str]) -> HttpAnswer:
         try:
-            revision = int(query["after"][0])
-            version = int(query["routes"][0])
-            wait = min(float(query["wait"][0]), MAX_FOLLOWER_WAIT)
-        except (KeyError, ValueError):
+            question = msgspec.convert(query, type=_FollowerQuestion, strict=False)
+        except msgspec.ValidationError:
             return HttpAnswer(400)
-        return HttpAnswer(200, await self._publisher.answer(revision, version, wait))
+        wait = min(question.wait, MAX_FOLLOWER_WAIT)
+        body = await self._publisher.answer(question.after, question.routes, wait)
+        return HttpAnswer(200, body)
 
 
 def _describe_own(settings: PacketVmSettings) -> EntryVm:
--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -6,20 +6,24 @@
 
 import socket
 from base64 import b64decode
-from binascii import Error as Base64Error
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
 from result import Err, Ok, Result
 
 from ..addresses import Address
+from ..json_bodies import decode_json
 from ..records import VmRecord
 from ..routes import Route, RouteTable, WeightedService
 from .packets import server_number
 
 SERVER_PREFIX = "servers/"
 ROUTES_KEY = "op/config"
+# Far above any use; sums of weights stay finite.
+MAX_WEIGHT = 1e9
+
+T = TypeVar("T")
 
 
 class StoreItem(msgspec.Struct, frozen=True):
@@ -47,7 +51,7 @@
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
-    weight: Annotated[float, Meta(ge=0)]
+    weight: Annotated[float, Meta(ge=0, le=MAX_WEIGHT)]
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -72,41 +76,51 @@
 
 def decode_server(item: StoreItem, now: float) -> Result[VmRecord, str]:
     """Decodes a server's entry; `now` is on the steady clock, in seconds."""
+    return _decode_value(item, _Server).and_then(lambda entry: _make_record(item, entry, now))
+
+
+def _make_record(item: StoreItem, entry: _Server, now: float) -> Result[VmRecord, str]:
     name = item.key.removeprefix(SERVER_PREFIX)
     try:
         server_number(name)
-        entry = msgspec.json.decode(b64decode(item.value, validate=True), type=_Server)
         address = Address.parse(entry.address)
         socket.inet_aton(address.host)
-    except (ValueError, Base64Error, OSError) as error:
+        fields = {
+            "name": name,
+            "revision": item.revision,
+            "incarnation": entry.born,
+            "role": "server",
+            "zone": entry.zone,
+            "host": address.host,
+            "data_port": address.port,
+            "http_port": address.port,
+            "service": entry.service,
+            "slots": entry.slots,
+            "warm_at": now + entry.warmup_left_ms / 1000 if entry.warmup_left_ms else 0.0,
+            "state": "leaving" if entry.state == "draining" else "live",
+        }
+        # Checked here, since followers refuse all of an answer that holds one bad record.
+        return Ok(msgspec.convert(fields, type=VmRecord))
+    except (ValueError, OSError) as error:
         return Err(str(error))
-    warm_at = now + entry.warmup_left_ms / 1000 if entry.warmup_left_ms else 0.0
-    return Ok(
-        VmRecord(
-            name=name,
-            revision=item.revision,
-            incarnation=entry.born,
-            role="server",
-            zone=entry.zone,
-            host=address.host,
-            data_port=address.port,
-            http_port=address.port,
-            service=entry.service,
-            slots=entry.slots,
-            warm_at=warm_at,
-            state="leaving" if entry.state == "draining" else "live",
-        )
-    )
 
 
 def decode_routes(item: StoreItem) -> Result[RouteTable, str]:
     """Decodes the operator's routes; a route that names no address or service is left out."""
+    return _decode_value(item, _Config).map(_make_table)
+
+
+def _decode_value(item: StoreItem, expected: type[T]) -> Result[T, str]:
     try:
-        config = msgspec.json.decode(b64decode(item.value, validate=True), type=_Config)
-    except (ValueError, Base64Error) as error:
+        value = b64decode(item.value, validate=True)
+    except ValueError as error:
         return Err(str(error))
+    return decode_json(value, expected)
+
+
+def _make_table(config: _Config) -> RouteTable:
     routes = tuple(route for route in map(_decode_route, config.routes) if route is not None)
-    return Ok(RouteTable(config.version, routes, config.limits.idle_timeout_ms / 1000))
+    return RouteTable(config.version, routes, config.limits.idle_timeout_ms / 1000)
 
 
 def _decode_route(route: _Route) -> Route | None:
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -13,6 +13,7 @@
 from ..flow_balancers import FlowBalancer
 from ..flow_settings import PacketVmSettings
 from ..http_calls import HttpClient, HttpReply
+from ..json_bodies import decode_json
 from ..logs import LogEvent, log_event
 from ..records import VmRecord
 from ..server_lists import ListChanges
@@ -90,10 +91,7 @@
         reply = await self._client.get(target, timeout)
         match reply:
             case Ok(HttpReply(status=200, body=body)):
-                try:
-                    return Ok(msgspec.json.decode(body, type=answer_type))
-                except msgspec.MsgspecError as error:
-                    return self._fail(str(error))
+                return decode_json(body, answer_type).map_err(self._error)
             case Ok(HttpReply(status=status)):
                 if status == HISTORY_GONE:
                     self._watched_from = 0
@@ -101,7 +99,10 @@
         return reply
 
     def _fail(self, reason: str) -> Err[StepError]:
-        return Err(StepError(Step.READ_PLATFORM, "store", reason))
+        return Err(self._error(reason))
+
+    def _error(self, reason: str) -> StepError:
+        return StepError(Step.READ_PLATFORM, "store", reason)
 
     def _apply(
         self, raw_items: Iterable[msgspec.Raw], whole: bool, revision: int, confirmed_at: float
@@ -141,11 +142,12 @@
                 self._reject(item, reason)
 
     def _decode_item(self, raw: msgspec.Raw) -> StoreItem | None:
-        try:
-            return msgspec.json.decode(raw, type=StoreItem)
-        except msgspec.MsgspecError as error:
-            log_event(logger, LogEvent.CATALOGUE_ENTRY_REJECTED, reason=str(error))
-            return None
+        match decode_json(raw, StoreItem):
+            case Ok(item):
+                return item
+            case Err(reason):
+                log_event(logger, LogEvent.CATALOGUE_ENTRY_REJECTED, reason=reason)
+        return None
 
     def _reject(self, item: StoreItem, reason: str) -> None:
         log_event(
--- a/marjoramford/publications.py
+++ b/marjoramford/publications.py
@@ -6,9 +6,10 @@
 from result import Err, Ok
 
 from .invariants import Invariant
+from .json_bodies import decode_json
 from .logs import LogEvent, log_event
 from .nodes import Node
-from .records import CatalogueEntry, VmRecord, decode_record
+from .records import CatalogueEntry, VmRecord
 
 logger = logging.getLogger(__name__)
 
@@ -24,7 +25,7 @@
     def take_catalogue(self, raws: Iterable[bytes], through: int) -> None:
         """Applies entries given as JSON; an invalid one is rejected alone."""
         for raw in raws:
-            match decode_record(raw, CatalogueEntry):
+            match decode_json(raw, CatalogueEntry):
                 case Ok(entry):
                     self._apply_entry(entry)
                 case Err(reason):
@@ -35,7 +36,7 @@
         """Applies VM records given as JSON; an invalid one is rejected alone."""
         changed = False
         for raw in raws:
-            match decode_record(raw, VmRecord):
+            match decode_json(raw, VmRecord):
                 case Ok(record):
                     changed = self._apply_vm(record) or changed
                 case Err(reason):
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import time
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from .flow_balancers import FlowBalancer
 from .records import VmRecord
@@ -25,8 +27,8 @@
     records: tuple[VmRecord, ...]
     removed: tuple[tuple[str, int], ...]
     whole: bool
-    revision: int
-    age: float | None
+    revision: Annotated[int, Meta(ge=0)]
+    age: Annotated[float, Meta(ge=0)] | None
     routes: RouteChanges | None = None
 
 
--- a/marjoramford/records.py
+++ b/marjoramford/records.py
@@ -4,11 +4,10 @@
 the whole collection.
 """
 
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
-from result import Err, Ok, Result
 
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Revision = Annotated[int, Meta(ge=1)]
@@ -95,14 +94,3 @@
     def key(self) -> str:
         """The record's key in its collection."""
         return self.name
-
-
-T = TypeVar("T")
-
-
-def decode_record(raw: bytes, record_type: type[T]) -> Result[T, str]:
-    """Decodes and checks one record from JSON."""
-    try:
-        return Ok(msgspec.json.decode(raw, type=record_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Err(str(error))
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -14,6 +14,7 @@
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_calls import HttpClient, HttpReply
+from .json_bodies import decode_json
 from .logs import LogEvent, log_event
 from .peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
 from .published_states import PublishedState, StatePublisher, apply_state
@@ -92,21 +93,25 @@
         now = time.monotonic()
         match reply:
             case Ok(HttpReply(status=200, body=body)):
-                try:
-                    state = msgspec.json.decode(body, type=PublishedState)
-                except msgspec.MsgspecError as error:
-                    self._note_lost(address, StepError(Step.FOLLOW, str(address), str(error)))
-                    return
-                apply_state(state, self._balancer, now)
-                self._group.note_followed(address, state.age, now)
-                self._publisher.notify()
-                if not wait:
+                if self._take_state(address, body, now) and not wait:
                     await asyncio.sleep(self._settings.peers.helper_pause)
             case Ok(HttpReply(status=status)):
                 self._note_lost(address, StepError(Step.FOLLOW, str(address), f"status {status}"))
             case Err(error):
                 self._note_lost(address, error)
 
+    def _take_state(self, address: Address, body: bytes, now: float) -> bool:
+        """Takes another entry VM's answer; tells whether it could be read."""
+        match decode_json(body, PublishedState):
+            case Ok(state):
+                apply_state(state, self._balancer, now)
+                self._group.note_followed(address, state.age, now)
+                self._publisher.notify()
+                return True
+            case Err(reason):
+                self._note_lost(address, StepError(Step.FOLLOW, str(address), reason))
+        return False
+
     def _note_lost(self, address: Address, error: StepError) -> None:
         self._group.note_followed(address, None, time.monotonic())
         log_event(logger, LogEvent.PEER_LOST, error=error)
@@ -146,9 +151,10 @@
 
 def hear_members(group: PeerGroup, body: bytes) -> bool:
     """Takes news of entry VMs as JSON; tells whether it could be read."""
-    try:
-        group.hear(msgspec.json.decode(body, type=tuple[MemberNews, ...]))
-    except msgspec.MsgspecError as error:
-        log_event(logger, LogEvent.CONTROL_BODY_REJECTED, reason=str(error))
-        return False
-    return True
+    match decode_json(body, tuple[MemberNews, ...]):
+        case Ok(news):
+            group.hear(news)
+            return True
+        case Err(reason):
+            log_event(logger, LogEvent.CONTROL_BODY_REJECTED, reason=reason)
+    return False
--- /dev/null
+++ b/tests/test_platform_borders.py
@@ -0,0 +1,181 @@
+"""Nothing that reaches an entry VM for opaque flows from outside ends one of its tasks."""
+
+import asyncio
+import json
+from base64 import b64encode
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramford.addresses import Address
+from marjoramford.entry_vms import EntryVm
+from marjoramford.errors import Step
+from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.http_calls import HttpClient
+from marjoramford.http_services import HttpAnswer, HttpRequest, serve_http
+from marjoramford.packet_daemons import PacketVm
+from marjoramford.peer_groups import PeerGroup
+from marjoramford.platform.entries import StoreItem, decode_routes, decode_server
+from marjoramford.platform.stores import StoreReader
+from marjoramford.published_states import PublishedState, StatePublisher
+from marjoramford.records import VmRecord
+from marjoramford.state_readers import MemberExchange, StateReader, hear_members
+
+from .flow_worlds import SETTINGS, FlowWorld, record
+from .test_platform_packets import CONFIG, SERVER
+
+HOST = "127.0.0.1"
+NESTED = b'[{"x":' + b"[" * 100_000
+NESTED_FIELD = b'{"x":' + b"[" * 100_000
+
+
+def item(value, key="servers/i-1"):
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return StoreItem(key, 1, b64encode(raw).decode())
+
+
+async def serve_body(body):
+    """Answers every request with a body; returns the server and its address."""
+
+    async def answer(_request):
+        return HttpAnswer(200, body)
+
+    server = await serve_http(Address(HOST, 0), answer)
+    return server, Address(HOST, server.sockets[0].getsockname()[1])
+
+
+def own_group(seeds=()):
+    own = Address(HOST, 9)
+    return PeerGroup(EntryVm("front-1", 1, "a", own, own), seeds, SETTINGS.peers, Random(1))
+
+
+def make_vm():
+    return PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
+
+
+def test_an_entry_with_deep_nesting_is_refused():
+    assert decode_server(item(NESTED_FIELD), 0.0).is_err()
+    assert decode_routes(item(NESTED_FIELD, key="op/config")).is_err()
+
+
+@pytest.mark.parametrize(
+    ("key", "change"),
+    [
+        ("servers/\u00e9-1", {}),
+        ("servers/" + "x" * 80 + "-1", {}),
+        ("servers/i-1", {"zone": ""}),
+        ("servers/i-1", {"zone": "z" * 65}),
+        ("servers/i-1", {"zone": "a b"}),
+    ],
+)
+def test_an_entry_that_followers_could_not_read_is_refused(key, change):
+    assert decode_server(item(SERVER | change, key), 0.0).is_err()
+
+
+@given(st.text(max_size=70), st.text(max_size=70), st.text(max_size=70))
+def test_what_is_taken_from_an_entry_can_be_passed_on(name, zone, service):
+    found = decode_server(
+        item(SERVER | {"zone": zone, "service": service}, f"servers/{name}-1"), 0.0
+    )
+    if found.is_ok():
+        msgspec.json.decode(msgspec.json.encode(found.ok_value), type=VmRecord)
+
+
+def test_weights_that_add_up_to_infinity_name_no_route():
+    split = [{"service": "a", "weight": 1e308}, {"service": "b", "weight": 1e308}]
+    config = CONFIG | {"routes": [CONFIG["routes"][1] | {"split": split}]}
+    assert decode_routes(item(config, key="op/config")).is_err()
+
+
+@pytest.mark.parametrize("body", [NESTED_FIELD, b'{"items":[' + NESTED, b"\xff"])
+def test_an_answer_of_the_store_that_cannot_be_read_is_an_error(body):
+    async def scenario():
+        server, address = await serve_body(body)
+        settings = msgspec.structs.replace(SETTINGS, platform=str(address))
+        reader = StoreReader(settings, FlowBalancer(settings, Random(1), 0.0))
+        assert (await reader.read(0.1)).is_err()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("body", [NESTED_FIELD, b"\xff", b"{}"])
+def test_a_peer_s_state_that_cannot_be_read_loses_the_peer(body):
+    async def scenario():
+        server, address = await serve_body(body)
+        world = FlowWorld(record("s-1"))
+        group = own_group()
+        reader = StateReader(SETTINGS, world.balancer, group, None, StatePublisher(world.balancer))
+        await reader._follow(address, 0.0)
+        assert group._avoided_until[address] > 0
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("field", ["age", "revision"])
+def test_a_peer_s_state_from_the_future_is_refused(field):
+    state = PublishedState((), (), False, 7, 0.0)
+    body = json.loads(msgspec.json.encode(state)) | {field: -1}
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.json.decode(json.dumps(body), type=PublishedState)
+
+
+def test_news_with_deep_nesting_is_refused():
+    assert not hear_members(own_group(), NESTED)
+
+
+@pytest.mark.parametrize("host", ["a..b", "", "x" * 300, "a\nb", "\u00e9" * 70])
+@pytest.mark.parametrize("port", [0, 9, 70_000, -1])
+def test_an_address_that_cannot_be_called_is_an_error(host, port):
+    async def scenario():
+        group = own_group([Address(host, port)])
+        await MemberExchange(SETTINGS, group).exchange_once()
+        client = HttpClient(Address(host, port), Step.GOSSIP)
+        assert (await client.get("/", 1.0)).is_err()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "//[",
+        "/v1/published",
+        "/v1/published?after=0&routes=0&wait=nan",
+        "/v1/published?after=0&routes=0&wait=-1",
+        "/v1/published?after=x&routes=0&wait=1",
+        "/v1/published?after=" + "9" * 5000 + "&routes=0&wait=1",
+    ],
+)
+def test_a_question_that_makes_no_sense_is_refused(target):
+    answer = asyncio.run(make_vm()._answer(HttpRequest("GET", target, b"")))
+    assert answer.status == 400
+
+
+def test_any_bytes_leave_the_http_server_serving():
+    random = Random(7)
+    samples = [random.randbytes(random.randrange(1, 300)) for _ in range(30)]
+    samples += [b"GET //[ HTTP/1.1\r\nHost: a\r\n\r\n", b"POST /v1/members HTTP/1.1\r\n"]
+
+    async def scenario():
+        failures = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: failures.append(context))
+        server = await serve_http(Address(HOST, 0), make_vm()._answer)
+        port = server.sockets[0].getsockname()[1]
+        for sample in samples:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(sample)
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+        reply = await HttpClient(Address(HOST, port), Step.GOSSIP).get("/v1/ready", 1.0)
+        server.close()
+        return failures, reply.ok_value.status
+
+    failures, status = asyncio.run(scenario())
+    assert (failures, status) == ([], 503)
