--- /dev/null
+++ b/marjoramford/packet_comparisons.py
@@ -0,0 +1,112 @@
+"""Comparison of where opaque flows open with baselines, on the same seeds."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import partial
+from statistics import mean
+
+from .backend_servers import BackendServer
+from .draws import draw_lowest
+from .flow_balancers import FlowBalancer
+from .packet_experiments import WARM_SECONDS, PacketExperiment, PacketPlan
+from .standins.deployments import DEPLOYMENTS
+from .standins.packet_faults import KillAllVms, strike
+from .standins.packet_vms import BalancerFactory
+from .standins.packet_worlds import PacketWorld, PacketWorldSettings
+from .standins.schedules import START
+
+SECONDS = 40.0
+# When all entry VMs lose power in the runs that show a recovery, in seconds of traffic.
+OUTAGE_AT = 10.0
+
+
+class RandomBalancer(FlowBalancer):
+    """Opens flows at any server that takes work; what no knowledge would give."""
+
+    def _place(
+        self, service: str, avoided: tuple[BackendServer, ...], now: float
+    ) -> BackendServer | None:
+        usable = [s for s in self.list.servers.of_service(service) if s.takes_work]
+        return self._random.choice(usable) if usable else None
+
+
+class OracleBalancer(FlowBalancer):
+    """Opens flows at the living server with the fewest requests in truth; no system can have it.
+
+    Attributes:
+        world: the one that is played; one at a time in a process.
+    """
+
+    world: PacketWorld
+
+    def _place(
+        self, service: str, avoided: tuple[BackendServer, ...], now: float
+    ) -> BackendServer | None:
+        servers = self.world.servers
+        usable = [
+            server
+            for server in self.list.servers.of_service(service)
+            if server.takes_work and servers[server.name].alive
+        ]
+        if not usable:
+            return None
+        loads = [servers[server.name].load for server in usable]
+        return draw_lowest(usable, loads, 0, self._random)
+
+
+POLICIES: dict[str, type[FlowBalancer]] = {
+    "random": RandomBalancer,
+    "estimated": FlowBalancer,
+    "oracle": OracleBalancer,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """A load and what happens during it.
+
+    Attributes:
+        load: offered work as a share of what the slots can do.
+        faults: name of a set of faults.
+        outage: whether all entry VMs lose power once.
+    """
+
+    load: float
+    faults: str = "none"
+    outage: bool = False
+
+
+PATTERNS = {
+    "calm, load 0.5": Pattern(0.5),
+    "calm, load 0.9": Pattern(0.9),
+    "all faults, load 0.5": Pattern(0.5, "all"),
+    "outage, load 0.6": Pattern(0.6, outage=True),
+    "outage, load 0.9": Pattern(0.9, outage=True),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Means over the seeds; see `PacketMeasures`."""
+
+    worth: float
+    worst_windows: float
+
+
+def measure_service(
+    deployment: str, policy: str, pattern: Pattern, seeds: Sequence[int]
+) -> Service:
+    """Measures a policy under a load pattern."""
+    runs = [run_pattern(deployment, POLICIES[policy], pattern, seed) for seed in seeds]
+    return Service(mean(run.worth for run in runs), mean(run.worst_windows for run in runs))
+
+
+def run_pattern(deployment: str, make_balancer: BalancerFactory, pattern: Pattern, seed: int):
+    """Plays one run; returns its measures."""
+    plan = PacketPlan(DEPLOYMENTS[deployment], seed, SECONDS, pattern.faults, pattern.load)
+    experiment = PacketExperiment(plan, PacketWorldSettings(make_balancer=make_balancer))
+    OracleBalancer.world = experiment.world
+    if pattern.outage:
+        world = experiment.world
+        world.at(START + WARM_SECONDS + OUTAGE_AT, partial(strike, world, KillAllVms()))
+    return experiment.run()
--- a/marjoramford/packet_experiments.py
+++ b/marjoramford/packet_experiments.py
@@ -66,7 +66,8 @@
 
     Attributes:
         worth: requests in aim, and late ones in part, over those offered.
-        worst_windows: the same over the two worst windows of 2 s.
+        windows: the same for each window of 2 s, by the moment of asking.
+        worst_windows: the mean of the two worst.
         ends: how tries ended.
     """
 
@@ -77,6 +78,7 @@
     kinds: dict[str, RequestTally] = field(default_factory=dict)
     ends: Counter[str] = field(default_factory=Counter)
     worth: float = 0.0
+    windows: list[float] = field(default_factory=list)
     worst_windows: float = 0.0
     findings: PacketFindings = field(default_factory=PacketFindings)
 
@@ -266,6 +268,9 @@
         measures.findings = self.world.judge.findings
         offered = sum(self._windows.values())
         measures.worth = sum(self._window_worth.values()) / max(1, offered)
-        shares = sorted(self._window_worth[w] / n for w, n in self._windows.items())
-        worst = shares[:WORST_WINDOWS]
+        measures.windows = [
+            round(self._window_worth[window] / count, 3)
+            for window, count in sorted(self._windows.items())
+        ]
+        worst = sorted(measures.windows)[:WORST_WINDOWS]
         measures.worst_windows = sum(worst) / max(1, len(worst))
--- a/marjoramford/standins/packet_servers.py
+++ b/marjoramford/standins/packet_servers.py
@@ -10,7 +10,6 @@
 from typing import Protocol
 
 from ..addresses import Address
-from ..flow_labels import derive_label
 from ..packets import FlowKey, format_ip
 from ..platform.packets import FLAG_FIN, FLAG_RST, FLAG_SYN, SERVER_ID, server_number
 from .packet_ends import (
@@ -102,9 +101,9 @@
         self._endpoint: Endpoint | None = None
 
     @property
-    def label(self) -> int:
-        """The label of its flows."""
-        return derive_label(self.name, 0)
+    def load(self) -> int:
+        """Requests that it runs or that wait there."""
+        return self._busy + len(self._queue)
 
     @property
     def alive(self) -> bool:
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -21,6 +21,9 @@
 RESTART_SECONDS = 0.5
 
 
+BalancerFactory = Callable[[PacketVmSettings, Random, float], FlowBalancer]
+
+
 class VmHost(Protocol):
     """What an entry VM needs of the world around it."""
 
@@ -54,6 +57,7 @@
         address: Address,
         catalogue: PacketCatalogue,
         random: Random,
+        make_balancer: BalancerFactory = FlowBalancer,
     ):
         self.name = name
         self.zone = zone
@@ -66,6 +70,7 @@
         self._host = host
         self._catalogue = catalogue
         self._random = random
+        self._make_balancer = make_balancer
         self._leaving = False
         self._turned_away = False
         self._frozen_until = host.now
@@ -151,7 +156,7 @@
                 self._reset(head.flow, head.acknowledged)
 
     def _serve(self) -> None:
-        self.balancer = FlowBalancer(self._settings, self._random, self._host.now)
+        self.balancer = self._make_balancer(self._settings, self._random, self._host.now)
         self._repeat(READ_SECONDS, self._read)
         self._repeat(TICK_SECONDS, self._tick)
 
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -10,6 +10,7 @@
 
 from ..addresses import Address
 from ..entry_vms import rendezvous_order
+from ..flow_balancers import FlowBalancer
 from ..packets import FlowKey, Forward
 from ..records import VmRecord
 from .deployments import Deployment
@@ -18,7 +19,7 @@
 from .packet_catalogues import PacketCatalogue
 from .packet_judges import STABLE_SECONDS, PacketJudge
 from .packet_servers import SLOTS, PacketServer
-from .packet_vms import EmulatedVm
+from .packet_vms import BalancerFactory, EmulatedVm
 from .schedules import Schedule
 
 ROUTE_IP = 0xC6120001
@@ -43,11 +44,13 @@
     Attributes:
         work_seconds: time that a request holds a slot.
         loss: share of datagrams that are lost.
+        make_balancer: makes the decisions of an entry VM; others serve as baselines.
     """
 
     work_seconds: float = 0.1
     loss: float = 0.0
     hash: Hash = Hash.STEADY
+    make_balancer: BalancerFactory = FlowBalancer
 
 
 class WorldEndpoint:
@@ -253,6 +256,7 @@
                 Address(f"10.8.0.{number + 1}", CALLER_PORT),
                 self.catalogue,
                 Random(self.random.random()),
+                self.settings.make_balancer,
             )
             self.vms.append(vm)
             vm.start()
--- /dev/null
+++ b/tools/measure_placements.py
@@ -0,0 +1,36 @@
+"""Compares where opaque flows open with a random choice and an oracle; prints a Markdown table."""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from itertools import product
+
+from marjoramford.logs import configure_logging
+from marjoramford.packet_comparisons import PATTERNS, POLICIES, measure_service
+
+SEEDS = tuple(range(1, 13))
+DEPLOYMENT = "grievance"
+WORKERS = 2
+
+
+def measure(case):
+    """Measures one line of the table."""
+    pattern, policy = case
+    configure_logging("plain", "critical")
+    return measure_service(DEPLOYMENT, policy, PATTERNS[pattern], SEEDS)
+
+
+def main() -> None:
+    """Measures every pattern with every policy."""
+    cases = list(product(PATTERNS, POLICIES))
+    with ProcessPoolExecutor(WORKERS) as workers:
+        found = list(workers.map(measure, cases))
+    sys.stdout.write(
+        "| load pattern | policy | worth | worst windows |\n| --- | --- | --- | --- |\n"
+    )
+    for (pattern, policy), service in zip(cases, found, strict=True):
+        figures = f"{service.worth:.4f} | {service.worst_windows:.3f}"
+        sys.stdout.write(f"| {pattern} | {policy} | {figures} |\n")
+
+
+if __name__ == "__main__":
+    main()
