--- a/marjoramford/standins/packet_judges.py
+++ b/marjoramford/standins/packet_judges.py
@@ -92,7 +92,7 @@
         """Notes that the store has acknowledged that a server is leaving."""
         self._draining_since.setdefault(server, self._world.now)
 
-    def note_answer(self, request: str, port: int, answer: bytes) -> None:
+    def note_answer(self, request: str, answer: bytes) -> None:
         """Takes the answer that a caller got to a request."""
         words = answer.decode(errors="replace").split()
         server = self._world.servers.get(words[2]) if len(words) == 3 else None
