--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -100,6 +100,8 @@
         self._at_address: dict[Address, PacketServer] = {}
         self._free_addresses: list[Address] = []
         self._last_vm: dict[FlowKey, EmulatedVm] = {}
+        self._vm_at: dict[Address, EmulatedVm] = {}
+        self._caller_at: dict[str, PacketCaller] = {}
         self._start_parts()
 
     def last_vm(self, key: FlowKey) -> EmulatedVm | None:
@@ -241,27 +243,13 @@
     # Parts
 
     def _start_parts(self) -> None:
-        self.catalogue.publish_routes(
-            {port: service for service, port in self.ports.items()}, self.now
-        )
+        routes = {port: service for service, port in self.ports.items()}
+        self.catalogue.publish_routes(routes, self.now)
         for service in self.deployment.services:
             for number in range(service.servers):
                 self.start_server(service.name, self._zone(number))
         for number in range(self.deployment.entry_vms):
-            zone = self._zone(number)
-            vm = EmulatedVm(
-                self,
-                f"front-{zone}-{number}",
-                zone,
-                Address(f"10.8.0.{number + 1}", CALLER_PORT),
-                self.catalogue,
-                Random(self.random.random()),
-                self.settings.make_balancer,
-            )
-            self.vms.append(vm)
-            vm.start()
-        self._vm_at = {vm.address: vm for vm in self.vms}
-        self._caller_at: dict[str, PacketCaller] = {}
+            self._start_vm(number)
         for number, zone in enumerate(self.deployment.zones):
             self.callers[zone] = [
                 self._start_caller(zone, f"100.64.{number}.{each + 1}")
@@ -269,6 +257,21 @@
             ]
         self._probe()
 
+    def _start_vm(self, number: int) -> None:
+        zone = self._zone(number)
+        vm = EmulatedVm(
+            self,
+            f"front-{zone}-{number}",
+            zone,
+            Address(f"10.8.0.{number + 1}", CALLER_PORT),
+            self.catalogue,
+            Random(self.random.random()),
+            self.settings.make_balancer,
+        )
+        self.vms.append(vm)
+        self._vm_at[vm.address] = vm
+        vm.start()
+
     def _start_caller(self, zone: str, ip: str) -> PacketCaller:
         caller = PacketCaller(ip, self.random, lambda key: self._choose_vm(key, zone))
         caller.start(WorldEndpoint(self, self._to_vm))
