The product's own control bodies are decoded by decode_json too

Cause: the borders of the opaque path had been mended in one place, while the same fault stood in its twins: a hand-over, or an answer of the platform, with deep nesting raised RecursionError out of the core or of the watcher's task; gossip had a copy of the right except clause. Read in the diff. Before: two of the new cases in tests/test_borders.py fail; after: none. Other refusals are as they were.

--- a/marjoramford/gossips.py
+++ b/marjoramford/gossips.py
@@ -3,6 +3,7 @@
 import logging
 
 import msgspec
+from result import Err, Ok
 
 from .actions import Action, ReplyGossip, SendGossip
 from .addresses import Address
@@ -10,6 +11,7 @@
 from .entry_vms import EntryVm, MemberNews
 from .events import GossipFailed, GossipReceived, GossipReplied
 from .invariants import Invariant
+from .json_bodies import decode_json
 from .limits import Lease, Resource, Want
 from .logs import LogEvent, log_event
 from .nodes import Node
@@ -231,12 +233,13 @@
         return RecordBatch(tuple(raws), batch.through)
 
     def _decode(self, payload: bytes) -> GossipMessage | None:
-        try:
-            return msgspec.json.decode(payload, type=GossipMessage)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            self._node.counters["gossip_rejected"] += 1
-            log_event(logger, LogEvent.CONTROL_BODY_REJECTED, step="gossip", reason=str(error))
-            return None
+        match decode_json(payload, GossipMessage):
+            case Ok(message):
+                return message
+            case Err(reason):
+                self._node.counters["gossip_rejected"] += 1
+                log_event(logger, LogEvent.CONTROL_BODY_REJECTED, step="gossip", reason=reason)
+        return None
 
     def _take(self, message: GossipMessage, now: float) -> None:
         entry_vms = self._node.entry_vms
--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 import msgspec
+from result import Err, Ok
 
 from .actions import Action, DrainFinished, ReplyHandover, SendHandover
 from .addresses import Address
@@ -12,6 +13,7 @@
 from .entry_vms import Coordinator, EntryVm, rendezvous_order
 from .events import HandoverReceived, HandoverReplied
 from .invariants import Invariant
+from .json_bodies import decode_json
 from .logs import LogEvent, log_event
 from .nodes import Node
 from .requests import Answered, Flow, Refused, RequestRecord, Unknown
@@ -139,13 +141,13 @@
 
     def adopt(self, event: HandoverReceived, now: float) -> list[Action]:
         """Takes over a leaving coordinator's flows; a batch received again changes nothing."""
-        try:
-            batch = msgspec.json.decode(event.payload, type=HandoverBatch)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            log_event(logger, LogEvent.CONTROL_BODY_REJECTED, step="hand over", reason=str(error))
-            return [ReplyHandover(msgspec.json.encode(HandoverReply(0, False)))]
-        adopted = self._adopt(batch, now)
-        return [ReplyHandover(msgspec.json.encode(HandoverReply(batch.batch, adopted)))]
+        match decode_json(event.payload, HandoverBatch):
+            case Ok(batch):
+                reply = HandoverReply(batch.batch, self._adopt(batch, now))
+            case Err(reason):
+                log_event(logger, LogEvent.CONTROL_BODY_REJECTED, step="hand over", reason=reason)
+                reply = HandoverReply(0, False)
+        return [ReplyHandover(msgspec.json.encode(reply))]
 
     def _adopt(self, batch: HandoverBatch, now: float) -> bool:
         node = self._node
@@ -245,10 +247,7 @@
     def _reply(self, event: HandoverReplied) -> bool | None:
         if event.payload is None:
             return None
-        try:
-            return msgspec.json.decode(event.payload, type=HandoverReply).adopted
-        except (msgspec.MsgspecError, UnicodeDecodeError):
-            return None
+        return decode_json(event.payload, HandoverReply).map_or(None, lambda reply: reply.adopted)
 
 
 def freeze_state(number: int, flow: Flow) -> FlowState:
--- a/marjoramford/probers.py
+++ b/marjoramford/probers.py
@@ -10,6 +10,7 @@
 from .balancers import ProbeTarget
 from .cores import Core
 from .events import LoadReported, ProbeFailed
+from .json_bodies import decode_json
 from .settings import EntryVmSettings
 
 REQUEST_BYTES = 130
@@ -61,8 +62,10 @@
         try:
             async with session.get(url, timeout=timeout) as response:
                 body = await response.content.read(MAX_LOAD_BYTES)
-            load = msgspec.json.decode(body, type=Load)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            load = decode_json(body, Load).unwrap_or(None)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            load = None
+        if load is None:
             self._core.submit(ProbeFailed(target.server, target.incarnation))
             return
         self._core.submit(
--- a/marjoramford/watchers.py
+++ b/marjoramford/watchers.py
@@ -5,10 +5,12 @@
 
 import aiohttp
 import msgspec
+from result import Err, Ok
 
 from .cores import Core
 from .errors import Step, StepError
 from .events import CatalogueRead, Event, VmListRead
+from .json_bodies import decode_json
 from .logs import LogEvent, log_event
 from .settings import TimeSettings
 
@@ -62,13 +64,17 @@
             async with session.get(self._url, params=params, timeout=timeout) as response:
                 response.raise_for_status()
                 body = await response.content.read(2 * MAX_PAGE_BYTES)
-            page = msgspec.json.decode(body, type=PublishedPage)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._note_unreachable(StepError(Step.READ_PLATFORM, self._url, str(error)))
             return False
-        self._note_reachable()
-        self._core.submit(self._event(page))
-        return True
+        match decode_json(body, PublishedPage):
+            case Ok(page):
+                self._note_reachable()
+                self._core.submit(self._event(page))
+                return True
+            case Err(reason):
+                self._note_unreachable(StepError(Step.READ_PLATFORM, self._url, reason))
+        return False
 
     def _through(self) -> int:
         node = self._core.balancer.node
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -1,7 +1,9 @@
 """Every border refuses malformed, oversized, forged, expired and foreign input, and goes on."""
 
+import asyncio
 from random import Random
 
+import aiohttp
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -9,6 +11,7 @@
 
 from marjoramford.addresses import Address
 from marjoramford.balancers import Balancer, Identity
+from marjoramford.cores import Core
 from marjoramford.events import (
     CallerDatagram,
     CatalogueRead,
@@ -20,6 +23,8 @@
     Tick,
     VmListRead,
 )
+from marjoramford.handovers import HandoverReply
+from marjoramford.http_services import HttpAnswer, serve_http
 from marjoramford.keys import KeyRing, Purpose
 from marjoramford.messages import (
     MAX_DATAGRAM_BYTES,
@@ -35,9 +40,10 @@
 )
 from marjoramford.records import VmRecord
 from marjoramford.requests import Flow, Forgotten, Fresh
-from marjoramford.settings import CoreSettings
+from marjoramford.settings import CoreSettings, TimeSettings
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.tokens import verify_token
+from marjoramford.watchers import Watcher
 
 NOW = 1000.0
 CALLER = Address("10.0.0.9", 5)
@@ -185,3 +191,29 @@
     assert flow.admit(2**64 - 2) == Fresh()
     assert flow.admit(1) == Forgotten()
     assert flow.seen < 2**64
+
+
+NESTED_FIELD = b'{"x":' + b"[" * 100_000
+
+
+@pytest.mark.parametrize("body", [NESTED_FIELD, b"\xff", b"[]"])
+def test_a_hand_over_that_cannot_be_read_is_refused(body):
+    (reply,) = make_balancer().handle(HandoverReceived(body), NOW)
+    assert not msgspec.json.decode(reply.payload, type=HandoverReply).adopted
+
+
+@pytest.mark.parametrize("body", [NESTED_FIELD, b"\xff", b"[]"])
+def test_an_answer_of_the_platform_that_cannot_be_read_is_an_error(body):
+    async def scenario():
+        async def answer(_request):
+            return HttpAnswer(200, body)
+
+        server = await serve_http(Address("127.0.0.1", 0), answer)
+        port = server.sockets[0].getsockname()[1]
+        core = Core(make_balancer(), lambda: NOW)
+        watcher = Watcher(core, f"http://127.0.0.1:{port}", "catalogue", TimeSettings())
+        async with aiohttp.ClientSession() as session:
+            assert not await watcher._watch_once(session)
+        server.close()
+
+    asyncio.run(scenario())
