What stood twice stands once: metric families, random schedules, request rates, rotation, count of readers

Read in the diff: the collectors of both data paths had their own gauge, counter and rendering; both experiments their own loop over random faults and their own division of a load; the soak's site and the emulated fabric the same misses of probes; the capacity table a copy of the rule for how many entry VMs read the platform. An unused dictionary and a wrapper of one call are gone from the emulated store. Ruled out: joining the fault types and tallies of both emulators, which only look alike.

--- a/marjoramford/experiments.py
+++ b/marjoramford/experiments.py
@@ -14,6 +14,7 @@
 
 WINDOW_SECONDS = 30.0
 WARM_SECONDS = 5.0
+FIRST_FAULT_SECONDS = 2.0
 SETTLE_SECONDS = 15.0
 STREAM_SESSIONS = 20
 SESSIONS_PER_KIND = 40
@@ -128,12 +129,10 @@
                     session.start_upload(UPLOAD_PIECES, self.world.now)
 
     def _start_traffic(self) -> None:
-        requests = [t for t in self._plan.deployment.traffic if t.shape == "request"]
-        for traffic in requests:
-            service = self._plan.deployment.service(traffic.service)
-            same = sum(t.share for t in requests if t.service == traffic.service)
-            capacity = service.servers * service.slots / self._settings.work_seconds
-            rate = self._plan.load * capacity * traffic.share / same
+        rates = self._plan.deployment.request_rates(
+            self._plan.load, lambda service: service.slots, self._settings.work_seconds
+        )
+        for traffic, rate in rates.items():
             self._offer(traffic, rate)
 
     def _offer(self, traffic: Traffic, rate: float) -> None:
@@ -155,11 +154,9 @@
         if not faults:
             return
         world = self.world
-        moment = world.now + 2.0
-        while moment < self._end:
-            fault = world.random.choice(faults)
-            world.at(moment, lambda fault=fault: self._strike(fault))
-            moment += world.random.expovariate(1.0 / self._plan.fault_interval)
+        first = world.now + FIRST_FAULT_SECONDS
+        interval = self._plan.fault_interval
+        world.at_random(world.random, faults, first, self._end, interval, self._strike)
 
     def _strike(self, fault: Fault) -> None:
         struck = provoke(self.world, fault)
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/flow_metrics.py
@@ -2,16 +2,11 @@
 
 from collections.abc import Iterator
 
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    HistogramMetricFamily,
-    Metric,
-)
+from prometheus_client.core import HistogramMetricFamily, Metric
 
 from .flow_balancers import FlowBalancer
 from .latencies import LATENCY_BOUNDS, Latencies
+from .metric_families import make_counter, make_gauge, render
 
 
 class FlowBalancerCollector:
@@ -23,17 +18,13 @@
     def collect(self) -> Iterator[Metric]:
         """Yields every metric with its value now."""
         balancer = self._balancer
-        events = CounterMetricFamily(
-            "marjoramford_packet_events", "Events by name since the start", labels=["name"]
-        )
-        for name, count in sorted(balancer.counters.items()):
-            events.add_metric([name], count)
-        yield events
-        yield _gauge("packet_flows", "Flows seen lately", len(balancer.flows))
-        yield _gauge("list_revision", "Revision of the server list", balancer.list.revision)
+        counters = balancer.counters
+        yield make_counter("packet_events", "Events by name since the start", "name", counters)
+        yield make_gauge("packet_flows", "Flows seen lately", len(balancer.flows))
+        yield make_gauge("list_revision", "Revision of the server list", balancer.list.revision)
         version = balancer.routes.version if balancer.routes else 0
-        yield _gauge("routes_version", "Version of the routes in force", version)
-        yield _gauge("ready", "1 while flows can be placed", balancer.ready)
+        yield make_gauge("routes_version", "Version of the routes in force", version)
+        yield make_gauge("ready", "1 while flows can be placed", balancer.ready)
         yield _histogram(
             "flow_opening_seconds",
             "From a flow's first packet to the caller's answer to the server's",
@@ -48,13 +39,7 @@
 
 def render_flow_metrics(balancer: FlowBalancer) -> bytes:
     """Returns the metrics in the Prometheus text format."""
-    registry = CollectorRegistry(auto_describe=False)
-    registry.register(FlowBalancerCollector(balancer))
-    return generate_latest(registry)
-
-
-def _gauge(name: str, text: str, value: float) -> GaugeMetricFamily:
-    return GaugeMetricFamily(f"marjoramford_{name}", text, value=value)
+    return render(FlowBalancerCollector(balancer))
 
 
 def _histogram(name: str, text: str, latencies: Latencies) -> HistogramMetricFamily:
--- a/marjoramford/packet_experiments.py
+++ b/marjoramford/packet_experiments.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from functools import partial
 
 from .standins.deployments import Deployment
 from .standins.packet_faults import PACKET_FAULT_SETS, PacketFault, strike
@@ -124,11 +123,9 @@
         if not faults:
             return
         world = self.world
-        moment = world.now + WARM_SECONDS
-        while moment < self._end:
-            fault = world.random.choice(faults)
-            world.at(moment, partial(self._strike, fault))
-            moment += world.random.expovariate(1.0 / self._plan.fault_interval)
+        first = world.now + WARM_SECONDS
+        interval = self._plan.fault_interval
+        world.at_random(world.random, faults, first, self._end, interval, self._strike)
 
     def _strike(self, fault: PacketFault) -> None:
         struck = strike(self.world, fault)
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -41,6 +41,11 @@
 Source = ReadPlatform | FollowPeer | PauseReading
 
 
+def count_readers(members: int, settings: PeerSettings) -> int:
+    """Returns how many of a zone's entry VMs read the platform, if not all do."""
+    return max(settings.min_readers, math.isqrt(members) // 2)
+
+
 class PeerGroup:
     """The entry VMs known here, and the choice of whom to read from.
 
@@ -160,8 +165,7 @@
             names.append(own.name)
         if len(names) <= self._settings.all_read_up_to:
             return None
-        count = max(self._settings.min_readers, math.isqrt(len(names)) // 2)
-        return rendezvous_order("reader", names)[:count]
+        return rendezvous_order("reader", names)[: count_readers(len(names), self._settings)]
 
     def _choose_helper(self, now: float) -> Address | None:
         """Chooses any entry VM that may know more while the platform does not answer here."""
--- a/marjoramford/standins/deployments.py
+++ b/marjoramford/standins/deployments.py
@@ -1,5 +1,6 @@
 """The two deployments of the brief: zones, services, servers, slots, latencies and traffic."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..records import CatalogueEntry, KindRules
@@ -72,6 +73,28 @@
         rules = self.service(traffic.service).kinds
         return any(rule.name == traffic.kind and rule.idempotent for rule in rules)
 
+    def request_rates(
+        self, load: float, slots: Callable[[ServiceShape], int], work_seconds: float
+    ) -> dict[Traffic, float]:
+        """Returns how many requests of each kind make up a load.
+
+        Args:
+            load: offered work as a share of what the slots can do.
+            slots: slots of one server of a service.
+            work_seconds: time that a request holds a slot.
+
+        Returns:
+            Requests a second.
+        """
+        requests = [traffic for traffic in self.traffic if traffic.shape == "request"]
+        rates = {}
+        for traffic in requests:
+            service = self.service(traffic.service)
+            same = sum(t.share for t in requests if t.service == traffic.service)
+            capacity = service.servers * slots(service) / work_seconds
+            rates[traffic] = load * capacity * traffic.share / same
+        return rates
+
 
 HERITAGE = Deployment(
     name="heritage",
--- a/marjoramford/standins/packet_catalogues.py
+++ b/marjoramford/standins/packet_catalogues.py
@@ -38,7 +38,6 @@
     def __init__(self, route_ip: int):
         self._route_ip = route_ip
         self._revision = 0
-        self._records: dict[str, VmRecord] = {}
         self.servers = ServerList(ListSettings())
         self.history: list[PublishedRoutes] = []
         self.down = False
@@ -62,7 +61,7 @@
     def put_server(self, record: VmRecord, now: float) -> None:
         """Writes a server's entry."""
         self._revision += 1
-        self._apply((record_at(record, self._revision),), (), now)
+        self._apply((replace(record, revision=self._revision),), (), now)
 
     def remove_server(self, name: str, now: float) -> None:
         """Removes a server's entry."""
@@ -85,8 +84,3 @@
         self, records: tuple[VmRecord, ...], removed: tuple[tuple[str, int], ...], now: float
     ) -> None:
         self.servers.apply(ListChanges(records, removed, False, self._revision), now)
-
-
-def record_at(record: VmRecord, revision: int) -> VmRecord:
-    """Returns an entry with the revision of its last write."""
-    return replace(record, revision=revision)
--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -23,14 +23,13 @@
 from .packet_servers import PacketServer
 from .packet_sockets import LoopbackEndpoint, wait_for
 from .packet_stores import PacketStore
+from .rotations import PROBE_SECONDS, Rotation
 from .store_proxies import LOOPBACK, ProxyMode, StoreProxy
 
 ROUTE_HOST = "198.18.0.1"
 ROUTE_IP = int.from_bytes(socket.inet_aton(ROUTE_HOST), "big")
 BOOKING_PORT = 443
 MANIFEST_PORT = 8443
-PROBE_SECONDS = 0.5
-MISSES_UNTIL_OUT = 2
 RESTART_SECONDS = 0.3
 LAPSE_SECONDS = 2.3
 DRAIN_BOUND = 3.0
@@ -50,8 +49,7 @@
     proxy: StoreProxy
     ready_address: Address
     process: asyncio.subprocess.Process | None = None
-    in_rotation: bool = False
-    misses: int = 0
+    rotation: Rotation = field(default_factory=Rotation)
     keeper: asyncio.Task | None = None
 
     def signal(self, number: signal.Signals) -> None:
@@ -146,7 +144,7 @@
     async def wait_until_ready(self) -> None:
         """Waits until the fabric has every entry VM in rotation."""
         async with asyncio.timeout(60):
-            while not all(vm.in_rotation for vm in self.vms):
+            while not all(vm.rotation.is_in for vm in self.vms):
                 await asyncio.sleep(0.05)
 
     # Planned work
@@ -267,7 +265,7 @@
         self.callers.append(caller)
 
     def _choose_vm(self, key: FlowKey, zone: str) -> Address | None:
-        ready = [vm for vm in self.vms if vm.in_rotation]
+        ready = [vm for vm in self.vms if vm.rotation.is_in]
         pool = [vm for vm in ready if vm.zone == zone] or ready
         if not pool:
             return None
@@ -333,13 +331,7 @@
 
     async def _probe_vm(self, vm: EntryVmProcess, client: HttpClient) -> None:
         reply = await client.get("/v1/ready", PROBE_SECONDS)
-        if reply.is_ok() and reply.ok_value.status == 200:
-            vm.misses = 0
-            vm.in_rotation = True
-            return
-        vm.misses += 1
-        if vm.misses >= MISSES_UNTIL_OUT:
-            vm.in_rotation = False
+        vm.rotation.note_probe(reply.is_ok() and reply.ok_value.status == 200)
 
 
 def _route(port: int, service: str) -> dict[str, object]:
--- a/marjoramford/standins/packet_traffic.py
+++ b/marjoramford/standins/packet_traffic.py
@@ -69,12 +69,9 @@
         """Starts offering."""
         deployment = self._world.deployment
         zones = self._world.callers.values()
-        requests = [t for t in deployment.traffic if t.shape == "request"]
-        for traffic in requests:
-            service = deployment.service(traffic.service)
-            same = sum(t.share for t in requests if t.service == traffic.service)
-            capacity = service.servers * SLOTS / self._world.settings.work_seconds
-            rate = self._load * capacity * traffic.share / same
+        work_seconds = self._world.settings.work_seconds
+        rates = deployment.request_rates(self._load, lambda _service: SLOTS, work_seconds)
+        for traffic, rate in rates.items():
             for callers in zones:
                 for caller in callers:
                     self._offer(traffic, caller, rate / len(callers) / len(zones))
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -10,6 +10,7 @@
 from ..packets import FlowKey, Forward, ResetFlow
 from ..platform.packets import PlatformCodec
 from .packet_catalogues import PacketCatalogue
+from .rotations import Rotation
 
 # Seconds between two reads of the published state, and between two ticks.
 READ_SECONDS = 0.2
@@ -43,8 +44,7 @@
     """One entry VM; its process starts, stops, is killed and stands still.
 
     Attributes:
-        in_rotation: whether the fabric sends it packets.
-        misses: readiness probes in a row that failed.
+        rotation: whether the fabric sends it packets.
         disturbed_at: when something last happened to it or to its path to the store, in seconds.
         boots: counts the starts of its process.
     """
@@ -62,8 +62,7 @@
         self.name = name
         self.zone = zone
         self.address = address
-        self.in_rotation = False
-        self.misses = 0
+        self.rotation = Rotation()
         self.disturbed_at = host.now
         self.boots = 0
         self.balancer: FlowBalancer | None = None
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -20,13 +20,12 @@
 from .packet_judges import STABLE_SECONDS, PacketJudge
 from .packet_servers import SLOTS, PacketServer
 from .packet_vms import BalancerFactory, EmulatedVm
+from .rotations import PROBE_SECONDS
 from .schedules import Schedule
 
 ROUTE_IP = 0xC6120001
 FIRST_PORT = 8000
 CALLER_PORT = 7000
-PROBE_SECONDS = 0.5
-MISSES_UNTIL_OUT = 2
 CALLERS_PER_ZONE = 2
 
 
@@ -214,11 +213,11 @@
 
     def _choose_vm(self, key: FlowKey, zone: str) -> Address | None:
         pool = [vm for vm in self.vms if vm.zone == zone]
-        ready = [vm for vm in pool if vm.in_rotation]
+        ready = [vm for vm in pool if vm.rotation.is_in]
         if 2 * len(ready) >= len(pool):
             pool = ready
         elif not ready:
-            pool = [vm for vm in self.vms if vm.in_rotation] or pool
+            pool = [vm for vm in self.vms if vm.rotation.is_in] or pool
         if not pool:
             return None
         if self.settings.hash is Hash.MOD:
@@ -231,13 +230,7 @@
 
     def _probe(self) -> None:
         for vm in self.vms:
-            if vm.ready:
-                vm.misses = 0
-                vm.in_rotation = True
-                continue
-            vm.misses += 1
-            if vm.misses >= MISSES_UNTIL_OUT:
-                vm.in_rotation = False
+            vm.rotation.note_probe(vm.ready)
         self.after(PROBE_SECONDS, self._probe)
 
     # Parts
--- a/marjoramford/standins/schedules.py
+++ b/marjoramford/standins/schedules.py
@@ -1,7 +1,12 @@
 """A virtual clock."""
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from functools import partial
+from random import Random
+from typing import TypeVar
+
+T = TypeVar("T")
 
 START = 1_000_000.0
 
@@ -23,6 +28,21 @@
         """Schedules a call some time from now."""
         self.at(self.now + seconds, call)
 
+    def at_random(
+        self,
+        random: Random,
+        choices: Sequence[T],
+        first: float,
+        end: float,
+        interval: float,
+        call: Callable[[T], None],
+    ) -> None:
+        """Schedules calls between two moments, `interval` apart in the mean, each with a choice."""
+        moment = first
+        while moment < end:
+            self.at(moment, partial(call, random.choice(choices)))
+            moment += random.expovariate(1.0 / interval)
+
     def run_until(self, moment: float) -> None:
         """Runs everything that is due up to a moment."""
         while self._queue and self._queue[0][0] <= moment:
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -33,7 +33,7 @@
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.flow_settings import PacketVmSettings, PeerSettings
 from marjoramford.packets import FlowKey, PacketHead
-from marjoramford.peer_groups import PeerGroup
+from marjoramford.peer_groups import PeerGroup, count_readers
 from marjoramford.records import VmRecord
 from marjoramford.routes import Route, RouteTable, WeightedService
 from marjoramford.server_lists import ListChanges
@@ -125,7 +125,7 @@
         verdict(memory <= MEMORY_BUDGET_MB),
     )
     members = NODES // ZONES
-    readers = max(2, int(members**0.5) // 2) * ZONES
+    readers = count_readers(members, PeerSettings()) * ZONES
     calls = readers * (1.0 / PeerSettings().reader_wait + changes_per_second())
     yield (
         "calls on the platform",
