A version of the published state is a pair of era and revision; HTTP headers are passed on

The server list and its changes carry a StateVersion; the era is 0 everywhere until the reader takes it from the store's answers. HTTP replies carry their headers and responses can set some. No behaviour changes.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -416,7 +416,7 @@
             flow=str(flow),
             reason=reason,
             routes=self._routes.version,
-            revision=self.server_list.revision,
+            revision=self.server_list.version.revision,
         )
         return ResetFlow(reason)
 
--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/flow_dumps.py
@@ -19,7 +19,7 @@
     dump = {
         "ready": balancer.ready,
         "routes_version": routes.version if routes else None,
-        "list_revision": balancer.server_list.revision,
+        "list_revision": balancer.server_list.version.revision,
         "list_age_seconds": round(now - balancer.server_list.confirmed_at, 3),
         "backend_servers": [
             _describe_server(server, now) for server in balancer.server_list.servers.values()
--- a/marjoramford/flow_logs.py
+++ b/marjoramford/flow_logs.py
@@ -27,7 +27,7 @@
         open_flows=server.open_flows,
         tried=len(flow.tried),
         routes=routes.version,
-        revision=server_list.revision,
+        revision=server_list.version.revision,
         list_age=round(now - server_list.confirmed_at, 2),
     )
 
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/flow_metrics.py
@@ -22,7 +22,7 @@
         yield make_counter("packet_events", "Events by name since the start", "name", counters)
         yield make_gauge("packet_flows", "Flows seen lately", len(balancer.flows))
         yield make_gauge(
-            "list_revision", "Revision of the server list", balancer.server_list.revision
+            "list_revision", "Revision of the server list", balancer.server_list.version.revision
         )
         version = balancer.routes.version if balancer.routes else 0
         yield make_gauge("routes_version", "Version of the routes in force", version)
--- a/marjoramford/http_calls.py
+++ b/marjoramford/http_calls.py
@@ -19,10 +19,15 @@
 
 
 class HttpReply(msgspec.Struct, frozen=True):
-    """A complete response."""
+    """A complete response.
+
+    Attributes:
+        headers: values by name, in lower case; of a repeated header, the last one.
+    """
 
     status: int
     body: bytes
+    headers: dict[str, str] = {}
 
 
 class HttpClient:
@@ -95,6 +100,7 @@
 
     async def _read_reply(self) -> HttpReply:
         status = 0
+        headers: dict[str, str] = {}
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -102,13 +108,17 @@
             match event:
                 case h11.Response():
                     status = event.status_code
+                    headers = {
+                        name.decode("latin-1"): value.decode("latin-1")
+                        for name, value in event.headers
+                    }
                 case h11.Data():
                     chunks.append(bytes(event.data))
                     size += len(event.data)
                     if size > MAX_BODY_BYTES:
                         raise OSError("response body is too long")
                 case h11.EndOfMessage():
-                    return HttpReply(status, b"".join(chunks))
+                    return HttpReply(status, b"".join(chunks), headers)
                 case _ if event is h11.NEED_DATA:
                     self._connection.receive_data(await self._reader.read(READ_CHUNK_BYTES))
                 case h11.ConnectionClosed():
--- a/marjoramford/http_services.py
+++ b/marjoramford/http_services.py
@@ -31,6 +31,7 @@
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -68,6 +69,7 @@
         headers = [
             ("Content-Type", answer.content_type),
             ("Content-Length", str(len(answer.body))),
+            *answer.headers,
         ]
         writer.write(
             connection.send(h11.Response(status_code=answer.status, headers=headers))
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -17,6 +17,7 @@
 from ..logs import LogEvent, log_event
 from ..records import VmRecord
 from ..server_lists import ListChanges
+from ..state_versions import StateVersion
 from .entries import ROUTES_KEY, SERVER_PREFIX, StoreItem, decode_routes, decode_server
 
 logger = logging.getLogger(__name__)
@@ -126,7 +127,7 @@
                     removed.append((item.key.removeprefix(SERVER_PREFIX), item.revision))
                 else:
                     records.append(record)
-        changes = ListChanges(tuple(records), tuple(removed), whole, revision)
+        changes = ListChanges(tuple(records), tuple(removed), whole, StateVersion(0, revision))
         self._balancer.server_list.apply(changes, now)
         self._balancer.server_list.confirm(confirmed_at)
         self._watch_revision = revision
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -15,6 +15,7 @@
 from .records import VmRecord
 from .routes import RouteChanges
 from .server_lists import ListChanges
+from .state_versions import StateVersion
 
 # Smaller states are sent as they are. A table of hundreds of routes for each follower would fill a
 # narrow link for a second, and packets of callers would be lost there.
@@ -77,18 +78,18 @@
     def _has_changes(self, revision: int, routes_version: int) -> bool:
         routes = self._balancer.routes
         newer_routes = routes is not None and routes.version > routes_version
-        return newer_routes or self._balancer.server_list.revision > revision
+        return newer_routes or self._balancer.server_list.version.revision > revision
 
     def _make_state(self, revision: int, routes_version: int) -> PublishedState:
         now = time.monotonic()
         balancer = self._balancer
-        changes = balancer.server_list.changes_since(revision)
+        changes = balancer.server_list.changes_since(StateVersion(0, revision))
         confirmed_at = balancer.server_list.confirmed_at
         return PublishedState(
             tuple(_shift_warm_at(record, -now) for record in changes.records),
             changes.removed,
             changes.whole,
-            changes.revision,
+            changes.version.revision,
             now - confirmed_at if balancer.server_list.loaded else None,
             balancer.route_history.changes_since(routes_version),
         )
@@ -123,9 +124,9 @@
     if state.age is None:
         return
     records = tuple(_shift_warm_at(record, now) for record in state.records)
-    changes = ListChanges(records, state.removed, state.whole, state.revision)
+    changes = ListChanges(records, state.removed, state.whole, StateVersion(0, state.revision))
     balancer.server_list.apply(changes, now)
-    if state.revision >= balancer.server_list.revision:
+    if changes.version >= balancer.server_list.version:
         balancer.server_list.confirm(now - state.age)
 
 
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -18,6 +18,7 @@
 from .flow_settings import ListSettings
 from .logs import LogEvent, log_event
 from .records import VmRecord
+from .state_versions import NOTHING_READ, StateVersion
 
 logger = logging.getLogger(__name__)
 
@@ -39,13 +40,13 @@
         records: entries that were written.
         removed: names of removed entries, each with the revision of its removal.
         whole: whether this is a snapshot, so that entries missing from `records` are removed.
-        revision: revision of the list once these changes are applied.
+        version: version of the list once these changes are applied.
     """
 
     records: tuple[VmRecord, ...]
     removed: tuple[tuple[str, int], ...]
     whole: bool
-    revision: int
+    version: StateVersion
 
 
 class ServerList:
@@ -64,30 +65,31 @@
         self._gone: list[RemovedServer] = []
         self.servers = BackendServers()
         self.labels = LabelIndex()
-        self.revision = 0
+        self.version = NOTHING_READ
         self.confirmed_at = float("-inf")
         self._reachable_since = float("inf")
 
     @property
     def loaded(self) -> bool:
         """Whether a list has been read at least once."""
-        return self.revision > 0
+        return self.version > NOTHING_READ
 
-    def changes_since(self, revision: int) -> ListChanges:
-        """Returns the delta from a follower's revision, or a snapshot.
+    def changes_since(self, version: StateVersion) -> ListChanges:
+        """Returns the delta from a follower's version, or a snapshot.
 
-        A snapshot is returned if removals since that revision are not known, or if the follower's
-        revision is ahead of this list.
+        A snapshot is returned if removals since that version are not known, or if the follower's
+        version is ahead of this list.
         """
-        if not self._removals_known_since <= revision <= self.revision:
-            return ListChanges(tuple(self._records.values()), (), True, self.revision)
+        revision = version.revision
+        if not self._removals_known_since <= revision <= self.version.revision:
+            return ListChanges(tuple(self._records.values()), (), True, self.version)
         records = tuple(r for r in self._records.values() if r.revision > revision)
         removed = tuple(item for item in self._removed.items() if item[1] > revision)
-        return ListChanges(records, removed, False, self.revision)
+        return ListChanges(records, removed, False, self.version)
 
     def apply(self, changes: ListChanges, now: float) -> None:
         """Applies a delta or a snapshot; ignored if it is older than this list."""
-        if changes.revision < self.revision:
+        if changes.version < self.version:
             return
         for record in changes.records:
             self._put(record, now)
@@ -96,9 +98,9 @@
         if changes.whole:
             names = {record.name for record in changes.records}
             for name in [name for name in self._records if name not in names]:
-                self._remove(name, changes.revision, now)
-            self._removals_known_since = self._removals_known_since or changes.revision
-        self.revision = changes.revision
+                self._remove(name, changes.version.revision, now)
+            self._removals_known_since = self._removals_known_since or changes.version.revision
+        self.version = changes.version
 
     def _put(self, record: VmRecord, now: float) -> None:
         current_record = self._records.get(record.name)
@@ -199,7 +201,7 @@
             server=server.name,
             reason=reason,
             unlisted_seconds=round(now - server.unlisted_since, 2),
-            revision=self.revision,
+            revision=self.version.revision,
         )
 
     def _restore(self, server: BackendServer) -> None:
--- a/marjoramford/standins/packet_catalogues.py
+++ b/marjoramford/standins/packet_catalogues.py
@@ -8,6 +8,7 @@
 from ..records import VmRecord
 from ..routes import Route, RouteTable, WeightedService
 from ..server_lists import ListChanges, ServerList
+from ..state_versions import StateVersion
 
 IDLE_SECONDS = 15.0
 
@@ -94,4 +95,6 @@
     def _apply(
         self, records: tuple[VmRecord, ...], removed: tuple[tuple[str, int], ...], now: float
     ) -> None:
-        self.servers.apply(ListChanges(records, removed, False, self._revision), now)
+        self.servers.apply(
+            ListChanges(records, removed, False, StateVersion(0, self._revision)), now
+        )
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -179,7 +179,7 @@
             return
         server_list = self.balancer.server_list
         server_list.apply(
-            self._catalogue.servers.changes_since(server_list.revision), self._host.now
+            self._catalogue.servers.changes_since(server_list.version), self._host.now
         )
         server_list.confirm(self._host.now)
         self.balancer.apply_routes(self._catalogue.routes)
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -97,7 +97,7 @@
         server_list = self._balancer.server_list
         routes = self._balancer.routes
         target = (
-            f"/v1/published?after={server_list.revision}"
+            f"/v1/published?after={server_list.version.revision}"
             f"&routes={routes.version if routes else 0}&wait={wait}&compress=true"
         )
         reply = await self._client.get(target, wait + self._settings.peers.timeout)
--- a/tests/flow_worlds.py
+++ b/tests/flow_worlds.py
@@ -9,6 +9,7 @@
 from marjoramford.records import VmRecord
 from marjoramford.routes import Route, RouteTable, WeightedService
 from marjoramford.server_lists import ListChanges
+from marjoramford.state_versions import StateVersion
 
 ROUTE_IP = 0xC6120001
 ROUTE_PORT = 443
@@ -45,16 +46,16 @@
     return RouteTable(version, (route,), idle_timeout)
 
 
-def snapshot(*records, revision=100):
-    return ListChanges(tuple(records), (), True, revision)
+def snapshot(*records, revision=100, era=0):
+    return ListChanges(tuple(records), (), True, StateVersion(era, revision))
 
 
-def removal(name, revision):
-    return ListChanges((), ((name, revision),), False, revision)
+def removal(name, revision, era=0):
+    return ListChanges((), ((name, revision),), False, StateVersion(era, revision))
 
 
-def upsert(entry):
-    return ListChanges((entry,), (), False, entry.revision)
+def upsert(entry, era=0):
+    return ListChanges((entry,), (), False, StateVersion(era, entry.revision))
 
 
 class FlowWorld:
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -5,6 +5,7 @@
 
 from marjoramford.flow_settings import ListSettings
 from marjoramford.server_lists import MAX_REMOVALS, ServerList
+from marjoramford.state_versions import NOTHING_READ, StateVersion
 
 from .flow_worlds import START, record, removal, snapshot, upsert
 
@@ -82,20 +83,20 @@
 def test_an_older_snapshot_is_ignored():
     subject = make_list(record("s-1"))
     subject.apply(snapshot(record("s-2"), revision=50), START)
-    assert [entry.name for entry in subject.changes_since(0).records] == ["s-1"]
+    assert [entry.name for entry in subject.changes_since(NOTHING_READ).records] == ["s-1"]
 
 
 def test_a_reader_far_behind_gets_a_snapshot():
     subject = make_list(record("s-1"))
-    assert subject.changes_since(0).whole
-    assert not subject.changes_since(100).whole
+    assert subject.changes_since(NOTHING_READ).whole
+    assert not subject.changes_since(StateVersion(0, 100)).whole
     for number in range(MAX_REMOVALS + 1):
         revision = 101 + 2 * number
         subject.apply(upsert(record("s-9", revision)), START)
         subject.apply(removal("s-9", revision + 1), START)
         subject.apply(upsert(record(f"s-{number + 16:x}", revision + 1)), START)
         subject.apply(removal(f"s-{number + 16:x}", revision + 1), START)
-    assert subject.changes_since(100).whole
+    assert subject.changes_since(StateVersion(0, 100)).whole
 
 
 changes = st.lists(
@@ -115,10 +116,13 @@
         else:
             leader.apply(removal(name, revision), START)
         # Removing an entry that does not exist still increases the revision.
-        leader.revision = revision
+        leader.version = StateVersion(0, revision)
         if number in asked_at:
-            follower.apply(leader.changes_since(follower.revision), START)
-            follower.apply(leader.changes_since(max(0, follower.revision - 3)), START)
-    follower.apply(leader.changes_since(follower.revision), START)
-    names = {entry.name: entry.revision for entry in leader.changes_since(0).records}
-    assert {entry.name: entry.revision for entry in follower.changes_since(0).records} == names
+            follower.apply(leader.changes_since(follower.version), START)
+            earlier = StateVersion(0, max(0, follower.version.revision - 3))
+            follower.apply(leader.changes_since(earlier), START)
+    follower.apply(leader.changes_since(follower.version), START)
+    names = {entry.name: entry.revision for entry in leader.changes_since(NOTHING_READ).records}
+    assert {
+        entry.name: entry.revision for entry in follower.changes_since(NOTHING_READ).records
+    } == names
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -19,6 +19,7 @@
 from marjoramford.routes import RouteTable
 from marjoramford.standins.packet_stores import PacketStore
 from marjoramford.state_readers import MemberExchange, StateReader
+from marjoramford.state_versions import NOTHING_READ
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, route_table
 from .test_platform_packets import CONFIG, SERVER
@@ -53,7 +54,7 @@
 
 
 def names(balancer):
-    return sorted(entry.name for entry in balancer.server_list.changes_since(0).records)
+    return sorted(entry.name for entry in balancer.server_list.changes_since(NOTHING_READ).records)
 
 
 def test_all_pages_are_read_then_changes_are_watched():
@@ -181,7 +182,7 @@
 
         async def ask(wait):
             version = follower.routes.version if follower.routes else 0
-            body = await publisher.answer(follower.server_list.revision, version, wait)
+            body = await publisher.answer(follower.server_list.version.revision, version, wait)
             state = msgspec.json.decode(body, type=PublishedState)
             apply_state(state, follower, time.monotonic())
 
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -37,6 +37,7 @@
 from marjoramford.records import VmRecord
 from marjoramford.routes import Route, RouteTable, WeightedService
 from marjoramford.server_lists import ListChanges
+from marjoramford.state_versions import StateVersion
 
 ROOT = Path(__file__).parent.parent
 RESULTS_FILE = ROOT / "docs" / "measurements" / "flows.json"
@@ -175,7 +176,7 @@
     route = Route(ROUTE_IP, 443, (WeightedService("booking", 1.0),))
     balancer.apply_routes(RouteTable(1, (route,), 15.0))
     records = tuple(make_record(number) for number in range(servers))
-    balancer.server_list.apply(ListChanges(records, (), True, servers + 1), 0.0)
+    balancer.server_list.apply(ListChanges(records, (), True, StateVersion(0, servers + 1)), 0.0)
     balancer.server_list.confirm(0.0)
     return balancer
 
