--- a/tests/test_failure_detectors.py
+++ b/tests/test_failure_detectors.py
@@ -67,3 +67,12 @@
     gauge.record_loss(11.0)
     assert gauge.is_lossy(12.9)
     assert not gauge.is_lossy(13.1)
+
+
+def test_retransmissions_of_separate_incidents_do_not_add_up():
+    """Regression from inc1: two losses while the own link was full, one more 4 s later."""
+    subject = Responsiveness(answered_at=9.0)
+    subject.record_retransmission(10.0, 10.2, 2.0)
+    subject.record_retransmission(10.0, 10.6, 2.0)
+    subject.record_retransmission(14.4, 14.6, 2.0)
+    assert not is_dead(subject, LISTED, 1, False, 14.8, SETTINGS)
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -151,6 +151,49 @@
     assert resets == []
 
 
+def test_an_open_flow_survives_a_loss_after_its_entry_vm_was_out_of_rotation():
+    """Regression from inc1 on beschwerde-bayern-grown.
+
+    While the own link is full, a request is retransmitted twice and its flow moves to another entry
+    VM. Seconds later one packet of another flow to the same live server is lost.
+    """
+    world = FlowWorld(record("s-1"), record("s-2", 2))
+    moved, other = world.caller(), world.caller()
+    server = moved.establish()
+    while other.establish() is not server:
+        other = world.caller()
+    moved.request()
+    for seconds in (0.2, 0.4):
+        world.advance(seconds)
+        moved.send(size=200, sequence=moved.sequence - 200)
+    world.advance(4.0)
+    other.request()
+    assert world.advance(0.2) == []
+    assert isinstance(other.send(size=200, sequence=other.sequence - 200), Forward)
+    assert world.advance(0.3) == []
+
+
+def test_no_server_is_considered_dead_while_all_answers_are_late():
+    """A bulk transfer fills the own link, so packets from callers arrive a second late.
+
+    The servers answer at once, but the packets that show it are queued behind the transfer.
+    """
+    world = FlowWorld(record("s-1"), record("s-2", 2))
+    callers = [world.caller() for _ in range(8)]
+    for caller in callers:
+        caller.establish()
+    world.advance(1.0)
+    for caller in callers:
+        caller.request()
+    for seconds in (0.2, 0.4):
+        assert world.advance(seconds) == []
+        for caller in callers:
+            assert isinstance(caller.send(size=200, sequence=caller.sequence - 200), Forward)
+    assert world.advance(0.4) == []
+    for caller in callers:
+        assert isinstance(caller.receive_answer(), Forward)
+
+
 def test_a_server_that_answers_other_callers_is_never_considered_dead():
     """One caller gets no answers; others do, so the server is alive."""
     world = FlowWorld(record("s-1"))
