Retransmissions of separate incidents are no evidence that a server is dead

Cause: evidence of silence had no age. Retransmissions on all flows to a server were counted until it answered through the same entry VM. While the own link is full flows move to other entry VMs, so no answer comes; seconds later one lost packet was the third retransmission of a 'silence' of seconds. A flow that had moved away kept its rounds and was reset with it, also by the entry VM that no longer forwards it.

Change: a caller retransmits at least every 1.6 s. After a gap of more than 2 s the count starts anew, a flow's wait is forgotten when it returns, and no flow is reset for silence whose caller's packets no longer come here. Why it works: what is added up now belongs to one uninterrupted sequence of retransmissions.

Ruled out: an older landing's table of servers or routes (reset reasons 'label of no server' and 'no route' do not occur on open flows there).

--- a/marjoramford/failure_detectors.py
+++ b/marjoramford/failure_detectors.py
@@ -13,6 +13,10 @@
 
 from .flow_settings import SilenceSettings
 
+# A caller retransmits unacknowledged data at least every 1.6 s. After a longer gap its packets have
+# taken another path, and what happened in between is not known here.
+MAX_RETRANSMISSION_GAP_SECONDS = 2.0
+
 
 class Responsiveness(msgspec.Struct, eq=False):
     """One entry VM's evidence that a server answers, over all flows to it.
@@ -48,10 +52,14 @@
     ) -> None:
         """Records the retransmission of a packet that was first forwarded at `waiting_since`.
 
-        It is ignored if the server has answered since then.
+        It is ignored if the server has answered since then. Retransmissions that are more than
+        `MAX_RETRANSMISSION_GAP_SECONDS` apart belong to separate incidents and do not add up.
         """
         if waiting_since < self.answered_at:
             return
+        if now - self.last_retransmission_at > MAX_RETRANSMISSION_GAP_SECONDS:
+            self.unanswered = 0
+            self.silent_since = float("inf")
         self.unanswered += 1
         self.last_retransmission_at = now
         self.silent_since = min(self.silent_since, waiting_since)
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -230,6 +230,7 @@
             flow = self._adopt_flow(header, now)
             if flow is None:
                 return self._handle_unknown_label(header, now)
+        flow.discard_stale_wait(now)
         server = flow.server
         rounds = flow.rounds.count
         waiting_since = flow.waiting_since
@@ -257,7 +258,7 @@
         return is_dead(
             server.responsiveness,
             ListStatus(server.unlisted_since, server.gone),
-            flow.rounds.count,
+            0 if flow.is_stale(now) else flow.rounds.count,
             self._loss_detector.is_lossy(now),
             now,
             self._settings.silence,
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .backend_servers import BackendServer
+from .failure_detectors import MAX_RETRANSMISSION_GAP_SECONDS
 from .flow_labels import derive_label
 from .packets import FlowKey, PacketHeader
 
@@ -120,6 +121,16 @@
             return True
         return any(label == derive_label(old.name, old.incarnation) for old in self.tried)
 
+    def is_stale(self, now: float) -> bool:
+        """Whether a waiting caller's packets no longer come through this entry VM."""
+        return now - self.active_at > MAX_RETRANSMISSION_GAP_SECONDS
+
+    def discard_stale_wait(self, now: float) -> None:
+        """Forgets a wait whose retransmissions went through another entry VM, if there is one."""
+        if not self.opening and self.is_stale(now):
+            self.waiting_since = None
+            self.rounds.clear()
+
     def record_packet(self, header: PacketHeader, now: float) -> bool:
         """Records a packet after the opening; returns whether it proves an answer of the server."""
         if self.opening:
