Silence of several servers at once is blamed on the own link until one of them answers

Cause: an entry VM sees the callers' half of a flow only. A full link delays or drops the packets that show answers, and the callers retransmit. The silence was the link's, and was counted against each server alone. The detector of losses starts only once a server has answered after retransmissions, which on a full link comes too late.

Change: while other servers are silent too and nobody has answered a packet that was forwarded since the first retransmission, a server is dead only after 3 s. Why it works: a round trip to any server proves the link; without one nothing tells whose the silence is. Servers that die together are still found at once by the answers of another (new test).

Ruled out: discarding evidence while the own link is busy by its count of bytes: needs the width of the link and misses queues upstream.

--- a/marjoramford/failure_detectors.py
+++ b/marjoramford/failure_detectors.py
@@ -25,6 +25,7 @@
         answered_at: last sign of life, on the monotonic clock in seconds.
         unanswered: retransmissions by callers since then.
         silent_since: when the oldest of the retransmitted packets was first forwarded.
+        first_retransmission_at: when the first of these retransmissions arrived.
         suspected_until: not chosen for new flows before this time if another server can be.
         last_retransmission_at: when a caller last retransmitted a packet.
     """
@@ -32,6 +33,7 @@
     answered_at: float = float("-inf")
     unanswered: int = 0
     silent_since: float = float("inf")
+    first_retransmission_at: float = float("inf")
     # `name` keeps the keys of the state dump.
     suspected_until: float = msgspec.field(default=float("-inf"), name="doubted_until")
     last_retransmission_at: float = msgspec.field(default=float("-inf"), name="repeated_at")
@@ -43,9 +45,7 @@
     def record_answer(self, now: float) -> None:
         """Records a sign of life and clears all suspicion."""
         self.answered_at = now
-        self.unanswered = 0
-        self.silent_since = float("inf")
-        self.suspected_until = float("-inf")
+        self.discard_evidence()
 
     def record_retransmission(
         self, waiting_since: float, now: float, suspicion_seconds: float
@@ -60,15 +60,18 @@
         if now - self.last_retransmission_at > MAX_RETRANSMISSION_GAP_SECONDS:
             self.unanswered = 0
             self.silent_since = float("inf")
+        if self.unanswered == 0:
+            self.first_retransmission_at = now
         self.unanswered += 1
         self.last_retransmission_at = now
         self.silent_since = min(self.silent_since, waiting_since)
         self.suspected_until = max(self.suspected_until, now + suspicion_seconds)
 
     def discard_evidence(self) -> None:
-        """Discards all evidence of silence after this entry VM itself was stalled."""
+        """Discards all evidence of silence."""
         self.unanswered = 0
         self.silent_since = float("inf")
+        self.first_retransmission_at = float("inf")
         self.suspected_until = float("-inf")
 
 
@@ -94,6 +97,45 @@
         return full and now - losses[0] <= self._settings.lossy_seconds
 
 
+class LinkDetector:
+    """Tells silence on this entry VM's own link from silence of single servers.
+
+    A link that is full delays the packets that show answers, so all servers seem silent at once. A
+    server is to blame only if another one has meanwhile answered a packet forwarded here.
+    """
+
+    def __init__(self) -> None:
+        # In the order of the latest retransmissions.
+        self._silent_servers: dict[str, float] = {}
+        self._answered_packet_at = float("-inf")
+
+    def record_retransmission(self, server: str, now: float) -> None:
+        """Records a retransmission to a server."""
+        silent = self._silent_servers
+        silent.pop(server, None)
+        silent[server] = now
+        while now - silent[oldest := next(iter(silent))] > MAX_RETRANSMISSION_GAP_SECONDS:
+            del silent[oldest]
+
+    def record_answer(self, server: str, forwarded_at: float) -> None:
+        """Records a server's answer to a packet that was first forwarded at `forwarded_at`."""
+        self._silent_servers.pop(server, None)
+        self._answered_packet_at = max(self._answered_packet_at, forwarded_at)
+
+    def is_suspected(self, server: str, evidence: Responsiveness, now: float) -> bool:
+        """Whether a server's silence may be that of the own link.
+
+        This is so if other servers are silent too, and no packet forwarded since the first
+        retransmission to this server has been answered by any server.
+        """
+        if self._answered_packet_at >= evidence.first_retransmission_at:
+            return False
+        return any(
+            name != server and now - at <= MAX_RETRANSMISSION_GAP_SECONDS
+            for name, at in self._silent_servers.items()
+        )
+
+
 class ListStatus(msgspec.Struct, frozen=True):
     """A server's status on the published list.
 
@@ -113,6 +155,7 @@
     lossy: bool,
     now: float,
     settings: SilenceSettings,
+    link_suspected: bool = False,
 ) -> bool:
     """Returns whether a flow's server is considered dead, so that the flow may be reset.
 
@@ -127,6 +170,8 @@
             the silence required, but not `answer_seconds`.
         now: time on the monotonic clock, in seconds.
         settings: thresholds.
+        link_suspected: whether the silence may be that of this entry VM's own link; then
+            `own_link_seconds` of it are required.
     """
     unlisted_since = list_status.unlisted_since
     silent_since_unlisted = unlisted_since is not None and server.answered_at < unlisted_since
@@ -137,6 +182,8 @@
     if now - server.last_retransmission_at < settings.answer_seconds:
         return False
     silence = now - server.silent_since
+    if link_suspected and silence < settings.own_link_seconds:
+        return False
     factor = 2 if lossy else 1
     if silent_since_unlisted:
         enough = server.unanswered >= factor * settings.unlisted_retransmissions
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .backend_servers import BackendServer
-from .failure_detectors import ListStatus, LossDetector, is_dead
+from .failure_detectors import LinkDetector, ListStatus, LossDetector, is_dead
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
 from .flow_settings import PacketVmSettings
@@ -62,6 +62,7 @@
         self._flows = PacketFlowTable(settings.max_flows)
         self._unknown_labels: dict[int, float] = {}
         self._loss_detector = LossDetector(settings.silence)
+        self._link_detector = LinkDetector()
         self._overload_controls: dict[str, OverloadControl] = {}
         self._last_tick_at = now
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
@@ -262,6 +263,7 @@
             self._loss_detector.is_lossy(now),
             now,
             self._settings.silence,
+            self._link_detector.is_suspected(server.name, server.responsiveness, now),
         )
 
     def _adopt_flow(self, header: PacketHeader, now: float) -> PacketFlow | None:
@@ -317,6 +319,7 @@
         server = flow.server
         if waiting_since is not None:
             self.answer_latencies.observe(now - waiting_since)
+            self._link_detector.record_answer(server.name, waiting_since)
         if server.responsiveness.unanswered:
             self._loss_detector.record_loss(now)
             log_event(logger, LogEvent.SERVER_ANSWERS, server=server.name)
@@ -339,6 +342,7 @@
         evidence = server.responsiveness
         was_suspected = evidence.suspected_until > now
         evidence.record_retransmission(waiting_since, now, self._settings.silence.doubt_seconds)
+        self._link_detector.record_retransmission(server.name, now)
         if not was_suspected and evidence.suspected_until > now:
             log_silence(server, waiting_since, now)
 
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -41,6 +41,8 @@
         doubt_seconds: time for which a server is suspected after a retransmission and gets no new
             flows if another server can be chosen, in seconds; about two heartbeats.
         stall_seconds: a longer pause of this process invalidates its evidence, in seconds.
+        own_link_seconds: silence that is required while several servers are silent and none has
+            answered meanwhile, in seconds; longer than a bulk transfer fills a narrow link.
     """
 
     dead_retransmissions: Annotated[int, Meta(ge=1, le=100)] = 3
@@ -52,6 +54,7 @@
     lossy_seconds: Seconds = 3.0
     doubt_seconds: Seconds = 2.0
     stall_seconds: Seconds = 0.4
+    own_link_seconds: Seconds = 3.0
 
 
 class PlacementSettings(_Section):
--- a/tests/test_failure_detectors.py
+++ b/tests/test_failure_detectors.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from marjoramford.failure_detectors import ListStatus, LossDetector, Responsiveness, is_dead
+from marjoramford.failure_detectors import (
+    LinkDetector,
+    ListStatus,
+    LossDetector,
+    Responsiveness,
+    is_dead,
+)
 from marjoramford.flow_settings import SilenceSettings
 
 SETTINGS = SilenceSettings()
@@ -76,3 +82,32 @@
     subject.record_retransmission(10.0, 10.6, 2.0)
     subject.record_retransmission(14.4, 14.6, 2.0)
     assert not is_dead(subject, LISTED, 1, False, 14.8, SETTINGS)
+
+
+def test_silence_of_several_servers_is_blamed_on_the_link_until_one_answers():
+    subject = Responsiveness(answered_at=9.0)
+    subject.record_retransmission(10.0, 10.2, 2.0)
+    link = LinkDetector()
+    link.record_retransmission("s-1", 10.2)
+    assert not link.is_suspected("s-1", subject, 10.3)
+    link.record_retransmission("s-2", 10.3)
+    assert link.is_suspected("s-1", subject, 10.4)
+    link.record_answer("s-3", forwarded_at=10.1)
+    assert link.is_suspected("s-1", subject, 10.4)
+    link.record_answer("s-3", forwarded_at=10.25)
+    assert not link.is_suspected("s-1", subject, 10.4)
+
+
+def test_a_server_silent_some_time_ago_does_not_put_the_link_under_suspicion():
+    subject = Responsiveness(answered_at=9.0)
+    subject.record_retransmission(14.0, 14.2, 2.0)
+    link = LinkDetector()
+    link.record_retransmission("s-2", 10.3)
+    assert not link.is_suspected("s-1", subject, 14.2)
+
+
+def test_a_suspected_link_delays_the_verdict_only():
+    assert not is_dead(evidence(9), LISTED, 3, False, 12.9, SETTINGS, link_suspected=True)
+    assert is_dead(evidence(9), LISTED, 3, False, 13.0, SETTINGS, link_suspected=True)
+    removed = ListStatus(9.5, True)
+    assert is_dead(evidence(0, float("inf")), removed, 0, False, 12.0, SETTINGS, True)
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -194,6 +194,27 @@
         assert isinstance(caller.receive_answer(), Forward)
 
 
+def test_servers_that_die_together_are_found_by_the_answers_of_another():
+    """A rack fails: two of three servers die at once, and the third one still answers."""
+    world = FlowWorld(record("s-1"), record("s-2", 2), record("s-3", 3))
+    callers = {}
+    while set(callers) != {"s-1", "s-2", "s-3"} or any(len(v) < 3 for v in callers.values()):
+        caller = world.caller()
+        callers.setdefault(caller.establish().name, []).append(caller)
+    waiting = callers["s-1"][:3] + callers["s-2"][:3]
+    for caller in waiting:
+        caller.request()
+    world.advance(0.2)
+    for caller in waiting:
+        caller.send(size=200, sequence=caller.sequence - 200)
+    connected = callers["s-3"][0]
+    connected.request()
+    world.now += 0.05
+    connected.receive_answer()
+    resets = world.advance(0.4)
+    assert {reset.flow for reset in resets} == {caller.key for caller in waiting}
+
+
 def test_a_server_that_answers_other_callers_is_never_considered_dead():
     """One caller gets no answers; others do, so the server is alive."""
     world = FlowWorld(record("s-1"))
