Entry VMs with wide links read the platform for their zone

Change: the settings name the link's bandwidth, members tell it in their gossip, and readers are elected among the widest links (classes of powers of two), by rendezvous hashing within a class. A member of an older build tells none and comes last; builds that disagree elect more readers for the time of a rolling restart, which is harmless. Tests: test_entry_vms_with_wide_links_read_the_platform (failed before) and an update of an older build.

Ruled out: reading the configuration in parts, which the store does not offer; pacing the read, which delays routes beyond their bound on such a link.

--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -51,6 +51,7 @@
     peer_address: Address
     control_address: Address
     successor: Coordinator | None = None
+    link_mbps: float = 0.0
 
 
 class EntryVm(msgspec.Struct, eq=False):
@@ -61,6 +62,7 @@
             seconds; 0 while there is no suspicion or no timeout has been set.
         transmissions: how many times its latest update has been disseminated.
         successor: the coordinator that took over its flows at a planned stop.
+        link_mbps: bandwidth of its link, in Mbit/s; 0 if it is not known.
         catalogue_through: catalogue revision up to which it has every change.
         vms_through: VM list revision up to which it has every change.
     """
@@ -75,6 +77,7 @@
     suspected_until: float = 0.0
     successor: Coordinator | None = None
     transmissions: int = 0
+    link_mbps: float = 0.0
     catalogue_through: int = 0
     vms_through: int = 0
 
@@ -94,6 +97,7 @@
             self.peer_address,
             self.control_address,
             self.successor,
+            self.link_mbps,
         )
 
 
@@ -211,6 +215,7 @@
                 update.zone,
                 update.peer_address,
                 update.control_address,
+                link_mbps=update.link_mbps,
             )
             self._others[update.name] = known
             self._record_change(known)
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -210,6 +210,8 @@
         control_address: TCP address for other entry VMs and operators.
         platform: HTTP address of the platform's store.
         seeds: control addresses of some entry VMs to join through; any of them may be down.
+        link_mbps: bandwidth of this entry VM's own link, in Mbit/s; 0 if it is not known. Entry VMs
+            with wide links read the platform for the others.
         flow_max_seconds: maximum lifetime of a flow, in seconds; older flows may be forgotten.
         max_flows: capacity of the flow table.
         log_level: least severe level that is logged.
@@ -222,6 +224,7 @@
     control_address: HostPort
     platform: HostPort
     seeds: tuple[HostPort, ...] = ()
+    link_mbps: Annotated[float, Meta(ge=0, le=1e7)] = 0.0
     flow_max_seconds: Seconds = 60.0
     max_flows: Annotated[int, Meta(ge=1, le=10_000_000)] = 50_000
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -276,4 +276,11 @@
 def _make_own_entry_vm(settings: PacketVmSettings) -> EntryVm:
     """Returns the member record of this entry VM; its incarnation is the start time in ms."""
     address = Address.parse(settings.control_address)
-    return EntryVm(settings.name, int(time.time() * 1000), settings.zone, address, address)
+    return EntryVm(
+        settings.name,
+        int(time.time() * 1000),
+        settings.zone,
+        address,
+        address,
+        link_mbps=settings.link_mbps,
+    )
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -3,7 +3,9 @@
 Load pattern: hundreds of entry VMs would each watch the platform, which limits the total rate of
 calls from all entry VMs; and the platform may refuse some machines while it serves others. So a few
 entry VMs of each availability zone read the platform, and the others get its state from them. All
-members compute the same readers by rendezvous hashing; there is no vote.
+members compute the same readers by rendezvous hashing; there is no vote. Entry VMs with wide links
+come first: a table of thousands of routes fills a narrow link for seconds, and callers' packets are
+delayed or lost there.
 """
 
 import logging
@@ -191,15 +193,18 @@
     def _elect_readers(self) -> list[str] | None:
         """Returns the names of the zone's readers; None if every entry VM reads the platform.
 
-        All members compute the same readers without coordination, by rendezvous hashing.
+        All members compute the same readers without coordination, by rendezvous hashing among those
+        with the widest links.
         """
         own = self.entry_vms.own
-        names = [vm.name for vm in self.entry_vms.active() if vm.zone == own.zone]
+        members = {vm.name: vm for vm in self.entry_vms.active() if vm.zone == own.zone}
         if own.state == "alive":
-            names.append(own.name)
-        if len(names) <= self._settings.all_read_up_to:
+            members[own.name] = own
+        if len(members) <= self._settings.all_read_up_to:
             return None
-        return rendezvous_order("reader", names)[: count_readers(len(names), self._settings)]
+        candidates = rendezvous_order("reader", members)
+        candidates.sort(key=lambda name: _link_class(members[name]), reverse=True)
+        return candidates[: count_readers(len(members), self._settings)]
 
     def _choose_fallback_peer(self, now: float) -> Address | None:
         """Returns an entry VM to follow while the platform does not answer here, or None.
@@ -212,3 +217,8 @@
         if self._fallback_peer not in usable:
             self._fallback_peer = self._random.choice(usable) if usable else None
         return self._fallback_peer
+
+
+def _link_class(vm: EntryVm) -> int:
+    """Returns the class of an entry VM's link; each class is twice as wide as the one below."""
+    return int(vm.link_mbps).bit_length()
--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -66,7 +66,21 @@
     assert "max_flows" in bad.stderr
 
 
-def test_the_rendered_template_is_a_valid_file(tmp_path):
+def render(template, values):
+    """Renders the part of the platform's template language that the deploy file uses."""
+
+    def render_section(found):
+        value = values.get(found[1])
+        return found[2].replace("{{.}}", json.dumps(value)) if value else ""
+
+    template = re.sub(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", render_section, template, flags=re.S)
+    return re.sub(
+        r"\{\{([a-z_.]+)(?:\|json)?\}\}", lambda found: json.dumps(values[found[1]]), template
+    )
+
+
+@pytest.mark.parametrize("link_mbps", [5.0, None])
+def test_the_rendered_template_is_a_valid_file(tmp_path, link_mbps):
     values = {
         "node": "front-a-1",
         "zone": "a",
@@ -77,12 +91,11 @@
         "seeds": ["10.0.0.1:3"],
         "bounds.flow_max_s": 60,
         "bounds.grace_s": 6,
+        "limits.link_mbps": link_mbps,
     }
-    template = (ROOT / "deploy" / "entry-vm.json").read_text()
-    filled = re.sub(
-        r"\{\{([a-z_.]+)(?:\|json)?\}\}", lambda found: json.dumps(values[found[1]]), template
-    )
+    filled = render((ROOT / "deploy" / "entry-vm.json").read_text(), values)
     settings = read_packet_settings(write(tmp_path, json.loads(filled))).unwrap()
+    assert settings.link_mbps == (link_mbps or 0.0)
     assert settings.name == "front-a-1"
     assert settings.stop.grace_seconds == 6.0
 
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -2,8 +2,10 @@
 
 from random import Random
 
+import msgspec
+
 from marjoramford.addresses import Address
-from marjoramford.entry_vms import EntryVm
+from marjoramford.entry_vms import EntryVm, MemberUpdate
 from marjoramford.flow_settings import PeerSettings
 from marjoramford.peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
 
@@ -45,6 +47,34 @@
     assert followed == readers
 
 
+def test_entry_vms_with_wide_links_read_the_platform():
+    """Regression from inc1: a table of 1,400 routes filled the 5 Mbit/s links of the readers."""
+    vms = [vm(number) for number in range(1, 18)]
+    for number, member in enumerate(vms):
+        member.link_mbps = 100.0 if number in (3, 11) else 5.0
+    groups = [group(own, [other for other in vms if other is not own]) for own in vms]
+    readers = [g.entry_vms.own for g in groups if isinstance(g.choose_source(NOW), ReadPlatform)]
+    assert readers == [vms[3], vms[11]]
+    vms[3].state = "leaving"
+    left = [
+        group(own, [other for other in vms if other is not own]) for own in vms if own != vms[3]
+    ]
+    readers = [g.entry_vms.own for g in left if isinstance(g.choose_source(NOW), ReadPlatform)]
+    assert vms[11] in readers
+    assert len(readers) == SETTINGS.min_readers
+
+
+def test_a_member_of_an_older_build_tells_no_link():
+    update = msgspec.json.decode(
+        b'{"name":"front-9","incarnation":1,"heartbeat":0,"state":"alive","zone":"a",'
+        b'"peer_address":["127.0.0.9",7000],"control_address":["127.0.0.9",7000]}',
+        type=MemberUpdate,
+    )
+    subject = group(vm(1))
+    subject.merge_updates([update])
+    assert subject.entry_vms.get("front-9").link_mbps == 0.0
+
+
 def test_readers_grow_slower_than_the_zone():
     groups = fleet(200)
     reading = sum(isinstance(g.choose_source(NOW), ReadPlatform) for g in groups)
