--- a/marjoramford/standins/packet_stores.py
+++ b/marjoramford/standins/packet_stores.py
@@ -12,12 +12,21 @@
 from ..http_services import HttpRequest, HttpResponse, serve_http
 
 PAGE_ITEMS = 50
+ERA_HEADER = "Store-Era"
+
+
+class StoreCopy(msgspec.Struct, frozen=True):
+    """A copy of the store from which it can be restored."""
+
+    items: dict[str, dict]
+    revision: int
 
 
 class PacketStore:
     """In-memory key-value store with one revision counter and a compactable change history.
 
     Attributes:
+        era: how often the store was restored from a copy; sent in all responses unless it is 0.
         revision: revision of the last change.
         calls: number of requests for each URL path.
         down: whether every request is answered with 503.
@@ -29,6 +38,7 @@
         self._history: list[dict] = []
         self._first_kept_revision = 1
         self._changed = asyncio.Event()
+        self.era = 0
         self.revision = 1
         self.calls: Counter[str] = Counter()
         self.down = False
@@ -60,12 +70,33 @@
         self._first_kept_revision = self.revision + 1
         self._wake_watchers()
 
+    def take_copy(self) -> StoreCopy:
+        """Returns a copy for `restore`."""
+        return StoreCopy(dict(self._items), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Starts a new era from a copy; waiting watches are answered with 410.
+
+        Revisions after the copy's are assigned again, to other changes.
+        """
+        self._items = dict(copy.items)
+        self.revision = copy.revision
+        self.era += 1
+        self.compact_history()
+
     async def serve(self, address: Address) -> asyncio.Server:
         """Starts serving the store's HTTP interface."""
         return await serve_http(address, self.answer)
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Handles one HTTP request."""
+        response = await self._answer(request)
+        if not self.era:
+            return response
+        headers = (*response.headers, (ERA_HEADER, str(self.era)))
+        return msgspec.structs.replace(response, headers=headers)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         parts = urlsplit(request.target)
         self.calls[parts.path] += 1
         if self.down:
@@ -89,8 +120,11 @@
     async def _watch(self, query: dict[str, str]) -> HttpResponse:
         prefix, after = query.get("prefix", ""), int(query["after"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        era = self.era
         while True:
-            if after + 1 < self._first_kept_revision:
+            # A watch from a revision that was lost in a restore waits for no revision to come.
+            unknown = after > self.revision or self.era != era
+            if unknown or after + 1 < self._first_kept_revision:
                 return HttpResponse(410)
             events = [
                 event
