Routes carry the era in which the platform held their version

Cause: after a restore from a copy the operator may write the same version again with other content, and nothing told the two apart. Routes are ordered by version, then era: a lower version of a newer era does not replace routes in force, the same version of a newer era does. If its content is the same, followers get the era alone. Ordering by era first was ruled out: routes in force would go back to those of the copy until the operator writes again.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -93,13 +93,28 @@
         return {name: control.level for name, control in self._overload_controls.items()}
 
     def apply_routes(self, table: RouteTable) -> None:
-        """Puts a route table in force unless one of the same or a newer version already is."""
+        """Puts a route table in force unless one of the same or a newer version already is.
+
+        A table of the same version from a newer era replaces the one in force: the operator may
+        have written other content under that version after the platform was restored. A lower
+        version of a newer era does not: routes in force stay until the platform holds a version at
+        least as new.
+        """
         current = self._routes
-        if current is not None and table.version <= current.version:
+        if current is not None and table.order <= current.order:
             return
         self._routes = table
         self.route_history.add(table)
-        log_event(logger, LogEvent.ROUTES_APPLIED, version=table.version, routes=len(table))
+        rewritten = current is not None and current.version == table.version
+        if rewritten and current.has_content_of(table):
+            return
+        log_event(
+            logger,
+            LogEvent.ROUTES_APPLIED,
+            version=table.version,
+            era=table.era,
+            routes=len(table),
+        )
 
     def apply_route_changes(self, changes: RouteChanges) -> None:
         """Applies a delta or a whole table of routes.
@@ -108,8 +123,10 @@
         """
         current = self._routes
         if changes.base == 0:
-            self.apply_routes(RouteTable(changes.version, changes.routes, changes.idle_timeout))
-        elif current is not None and current.version == changes.base:
+            self.apply_routes(
+                RouteTable(changes.version, changes.routes, changes.idle_timeout, changes.era)
+            )
+        elif current is not None and current.order == (changes.base, changes.base_era):
             self.apply_routes(current.with_changes(changes))
 
     def handle_packet(self, header: PacketHeader, now: float) -> PacketAction:
@@ -416,6 +433,7 @@
             flow=str(flow),
             reason=reason,
             routes=self._routes.version,
+            era=self.server_list.version.era,
             revision=self.server_list.version.revision,
         )
         return ResetFlow(reason)
--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -109,13 +109,13 @@
         return Err(str(error))
 
 
-def decode_routes(item: StoreItem) -> Result[RouteTable, str]:
-    """Decodes the operator's routes.
+def decode_routes(item: StoreItem, era: int = 0) -> Result[RouteTable, str]:
+    """Decodes the operator's routes, read in an era of the store.
 
     Routes whose host or port cannot be parsed, or without a service of positive weight, are left
     out. The range of the port is not checked.
     """
-    return _decode_value(item, _Config).map(_make_table)
+    return _decode_value(item, _Config).map(lambda config: _make_table(config, era))
 
 
 def _decode_value(item: StoreItem, expected: type[T]) -> Result[T, str]:
@@ -126,9 +126,9 @@
     return decode_json(value, expected)
 
 
-def _make_table(config: _Config) -> RouteTable:
+def _make_table(config: _Config, era: int) -> RouteTable:
     routes = tuple(route for route in map(_decode_route, config.routes) if route is not None)
-    return RouteTable(config.version, routes, config.limits.idle_timeout_ms / 1000)
+    return RouteTable(config.version, routes, config.limits.idle_timeout_ms / 1000, era)
 
 
 def _decode_route(route: _Route) -> Route | None:
--- a/marjoramford/routes.py
+++ b/marjoramford/routes.py
@@ -1,8 +1,10 @@
 """Routes: map public addresses to the services at which their flows open."""
 
 from random import Random
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 
 class WeightedService(msgspec.Struct, frozen=True):
@@ -36,7 +38,7 @@
         return random.choices(self.services, weights)[0].name
 
 
-class RouteChanges(msgspec.Struct, frozen=True):
+class RouteChanges(msgspec.Struct, frozen=True, omit_defaults=True):
     """A delta between two versions of the routes, or a whole table.
 
     Attributes:
@@ -45,6 +47,8 @@
         idle_timeout: idle timeout of flows in the new version, in seconds.
         routes: routes that were added or changed.
         removed: addresses (IP and port) whose routes were removed.
+        era: era in which the platform held the version.
+        base_era: era of the base.
     """
 
     version: int
@@ -52,25 +56,42 @@
     idle_timeout: float
     routes: tuple[Route, ...]
     removed: tuple[tuple[int, int], ...] = ()
+    era: Annotated[int, Meta(ge=0)] = 0
+    base_era: Annotated[int, Meta(ge=0)] = 0
 
 
 class RouteTable:
     """All routes of one version of the catalogue.
 
+    After the platform was restored from a copy, the operator may write a version again with other
+    content; the era tells the two apart.
+
     Args:
         version: increases with each change.
         routes: all routes, at most one for each public address.
         idle_timeout: a flow that is idle for longer may be forgotten, in seconds.
+        era: era in which the platform held this version.
     """
 
-    def __init__(self, version: int, routes: tuple[Route, ...], idle_timeout: float):
+    def __init__(self, version: int, routes: tuple[Route, ...], idle_timeout: float, era: int = 0):
         self.version = version
+        self.era = era
         self.idle_timeout = idle_timeout
         self._by_address = {(route.ip, route.port): route for route in routes}
 
     def __len__(self) -> int:
         return len(self._by_address)
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Version, then era: routes in force are only replaced by those of a higher order."""
+        return self.version, self.era
+
+    def has_content_of(self, other: "RouteTable") -> bool:
+        """Returns whether both tables hold the same routes and idle timeout."""
+        same_timeout = self.idle_timeout == other.idle_timeout
+        return same_timeout and self._by_address == other._by_address
+
     def find(self, ip: int, port: int) -> Route | None:
         """Returns the route of a public address, or None."""
         return self._by_address.get((ip, port))
@@ -86,7 +107,9 @@
             route for address, route in new_routes.items() if old_routes.get(address) != route
         )
         removed = tuple(address for address in old_routes if address not in new_routes)
-        return RouteChanges(self.version, base.version, self.idle_timeout, changed, removed)
+        return RouteChanges(
+            self.version, base.version, self.idle_timeout, changed, removed, self.era, base.era
+        )
 
     def with_changes(self, changes: RouteChanges) -> "RouteTable":
         """Returns a new table: this one with a delta applied."""
@@ -95,7 +118,9 @@
             address: route for address, route in self._by_address.items() if address not in removed
         }
         routes |= {(route.ip, route.port): route for route in changes.routes}
-        return RouteTable(changes.version, tuple(routes.values()), changes.idle_timeout)
+        return RouteTable(
+            changes.version, tuple(routes.values()), changes.idle_timeout, changes.era
+        )
 
 
 class RouteHistory:
@@ -110,22 +135,32 @@
 
     def __init__(self, max_tables: int):
         self._max_tables = max_tables
-        self._tables: dict[int, RouteTable] = {}
+        self._tables: dict[tuple[int, int], RouteTable] = {}
 
     def add(self, table: RouteTable) -> None:
         """Adds the newest table and evicts the oldest beyond `max_tables`."""
-        self._tables[table.version] = table
+        self._tables[table.order] = table
         if len(self._tables) > self._max_tables:
             del self._tables[next(iter(self._tables))]
 
-    def changes_since(self, version: int) -> RouteChanges | None:
-        """Returns the delta from a version; the whole table if unknown; None if current."""
+    def changes_since(self, version: int, era: int | None = 0) -> RouteChanges | None:
+        """Returns the delta from a version; the whole table if unknown; None if current.
+
+        Args:
+            version: version that the follower has.
+            era: era of that version; None for a follower of an older build, which knows none and
+                compares versions alone.
+        """
         if not self._tables:
             return None
         newest = next(reversed(self._tables.values()))
-        if version >= newest.version:
+        known = (version, newest.era if era is None else era)
+        if known >= newest.order:
             return None
-        base = self._tables.get(version)
+        # Without its era, the content of the follower's version is known only if there is one era.
+        base = None if era is None and newest.era else self._tables.get(known)
         if base is None:
-            return RouteChanges(newest.version, 0, newest.idle_timeout, newest.routes())
+            return RouteChanges(
+                newest.version, 0, newest.idle_timeout, newest.routes(), era=newest.era
+            )
         return newest.diff_from(base)
