A restore of the platform's store is noticed, and its state replaces that of the older era

Cause: revisions go back when the store is restored from a copy and are assigned again, but the list and the watch compared them alone. The reader now takes the era from every answer, also refusals. A new era makes a whole read due, at once unless the store refuses; ReadCursor decides that without I/O. An era that goes back or cannot be read is logged and the answer is not used.

Servers that the copy lacks become unlisted and are confirmed as gone after relist_seconds counted from then. Servers that had left the list before stay unlisted (if gone: without new flows) until their entry is written again or has stayed that long; a lower incarnation than the known one and an address that another live server has since taken are not believed at all.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -101,6 +101,8 @@
             another incarnation, in seconds on the monotonic clock; None while listed. Set only for
             opaque flows.
         separable: whether the label of its flows is used by no other server.
+        unverified: whether it was gone before the platform was restored from a copy that lists it;
+            its flows continue, but only a later entry or time shows that it runs.
     """
 
     name: str
@@ -126,13 +128,14 @@
     open_flows: int = 0
     unlisted_since: float | None = None
     separable: bool = True
+    unverified: bool = False
     responsiveness: Responsiveness = msgspec.field(default_factory=Responsiveness)
     _in_progress_history: deque[tuple[float, int]] = msgspec.field(default_factory=_make_history)
 
     @property
     def accepts_work(self) -> bool:
         """Whether it may receive new requests or flows, regardless of its load and ejection."""
-        return self.separable and not self.leaving and not self.gone
+        return self.separable and not (self.leaving or self.gone or self.unverified)
 
     def is_open(self, now: float) -> bool:
         """Returns whether another request may be dispatched to it now."""
--- a/marjoramford/flow_logs.py
+++ b/marjoramford/flow_logs.py
@@ -27,6 +27,7 @@
         open_flows=server.open_flows,
         tried=len(flow.tried),
         routes=routes.version,
+        era=server_list.version.era,
         revision=server_list.version.revision,
         list_age=round(now - server_list.confirmed_at, 2),
     )
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -15,6 +15,7 @@
 from ..http_calls import HttpClient, HttpReply
 from ..json_bodies import decode_json
 from ..logs import LogEvent, log_event
+from ..read_cursors import AnswerKind, ReadCursor, ReadEverything, RejectAnswer, UseAnswer
 from ..records import VmRecord
 from ..server_lists import ListChanges
 from ..state_versions import StateVersion
@@ -23,6 +24,10 @@
 logger = logging.getLogger(__name__)
 
 STATUS_HISTORY_GONE = 410
+ERA_HEADER = "store-era"
+# Far above any number of restores, and within the integers that peers decode.
+MAX_ERA_DIGITS = 15
+MAX_WHOLE_READS = 3
 
 
 class _Page(msgspec.Struct, frozen=True):
@@ -40,35 +45,54 @@
 class StoreReader:
     """Reads all entries once, then watches for changes.
 
-    All entries are read again if the store no longer has the history since the last read.
+    All entries are read again if the store no longer has the history since the last read, or if it
+    was restored from a copy.
     """
 
     def __init__(self, settings: PacketVmSettings, balancer: FlowBalancer):
         self._timeout = settings.reads.timeout
         self._balancer = balancer
         self._client = HttpClient(Address.parse(settings.platform), Step.READ_PLATFORM)
-        self._watch_revision = 0
+        self._cursor = ReadCursor()
 
     async def read(self, wait: float) -> Result[bool, StepError]:
         """Updates routes and servers, waiting up to `wait` seconds for a change.
 
         The first read, and the first one after the store has lost the history since the last read,
-        loads everything without waiting.
+        loads everything without waiting. So does a read that finds the store restored.
 
         Returns:
             Whether anything changed; always true if everything was loaded.
         """
-        return await (self._watch(wait) if self._watch_revision else self._read_all())
+        # A peer may have shown the new era while the store did not answer here.
+        self._cursor.learn_era(self._balancer.server_list.version.era)
+        if not self._cursor.whole_read_due:
+            match await self._watch(wait):
+                case Ok(ReadEverything()):
+                    pass
+                case result:
+                    return result
+        return await self._read_all()
 
     async def _read_all(self) -> Result[bool, StepError]:
+        for _ in range(MAX_WHOLE_READS):
+            match await self._read_pages():
+                case Ok(ReadEverything()):
+                    continue
+                case result:
+                    return result
+        return self._fail(f"restored {MAX_WHOLE_READS} times during one read")
+
+    async def _read_pages(self) -> Result[bool | ReadEverything, StepError]:
         after = ""
         items: list[msgspec.Raw] = []
         revision = 0
         asked_at = time.monotonic()
         while True:
             query = f"prefix=&after={quote(after)}" if after else "prefix="
-            reply = await self._get(f"/v1/kv-range?{query}", _Page, self._timeout)
-            if reply.is_err():
+            kind = AnswerKind.NEXT_PAGE if after else AnswerKind.FIRST_PAGE
+            reply = await self._get(f"/v1/kv-range?{query}", _Page, kind, self._timeout)
+            if reply.is_err() or isinstance(reply.ok_value, ReadEverything):
                 return reply
             page = reply.ok_value
             # The pages are no consistent snapshot; watching from the first page's revision misses
@@ -78,33 +102,53 @@
             if not page.has_more or not page.items:
                 break
             after = msgspec.json.decode(page.items[-1], type=StoreItem).key
-        self._apply(items, True, revision, asked_at)
-        return Ok(True)
+        return self._apply(items, True, revision, asked_at).map(lambda _: True)
 
-    async def _watch(self, wait: float) -> Result[bool, StepError]:
-        query = f"prefix=&after={self._watch_revision}&wait_ms={int(wait * 1000)}"
+    async def _watch(self, wait: float) -> Result[bool | ReadEverything, StepError]:
+        watched = self._cursor.version.revision
+        query = f"prefix=&after={watched}&wait_ms={int(wait * 1000)}"
         asked_at = time.monotonic()
-        reply = await self._get(f"/v1/kv-watch?{query}", _Changes, wait + self._timeout)
-        if reply.is_err():
+        target = f"/v1/kv-watch?{query}"
+        reply = await self._get(target, _Changes, AnswerKind.CHANGES, wait + self._timeout)
+        if reply.is_err() or isinstance(reply.ok_value, ReadEverything):
             return reply
         changes = reply.ok_value
-        if changes.as_of < self._watch_revision:
+        if changes.as_of < watched:
             return self._fail("store revision went backwards")
         # Without events the store answers only at the end of the wait.
         confirmed_at = asked_at if changes.events else asked_at + wait
-        self._apply(changes.events, False, changes.as_of, confirmed_at)
-        return Ok(bool(changes.events))
-
-    async def _get(self, target: str, answer_type: type, timeout: float) -> Result:
-        reply = await self._client.get(target, timeout)
-        match reply:
-            case Ok(HttpReply(status=200, body=body)):
-                return decode_json(body, answer_type).map_err(self._make_error)
-            case Ok(HttpReply(status=status)):
-                if status == STATUS_HISTORY_GONE:
-                    self._watch_revision = 0
-                return self._fail(f"expected HTTP status 200, got {status}")
-        return reply
+        applied = self._apply(changes.events, False, changes.as_of, confirmed_at)
+        return applied.map(lambda _: bool(changes.events))
+
+    async def _get(
+        self, target: str, answer_type: type, kind: AnswerKind, timeout: float
+    ) -> Result[msgspec.Struct | ReadEverything, StepError]:
+        match await self._client.get(target, timeout):
+            case Ok(HttpReply() as reply):
+                return self._check(reply, answer_type, kind)
+            case error:
+                return error
+
+    def _check(
+        self, reply: HttpReply, answer_type: type, kind: AnswerKind
+    ) -> Result[msgspec.Struct | ReadEverything, StepError]:
+        """Returns the body of an answer that the cursor lets through."""
+        if reply.status != 200:
+            is_gone = reply.status == STATUS_HISTORY_GONE
+            kind = AnswerKind.HISTORY_GONE if is_gone else AnswerKind.REFUSAL
+        match _decode_era(reply.headers):
+            case Ok(era):
+                verdict = self._cursor.judge(kind, era)
+            case Err(reason):
+                verdict = self._cursor.reject(kind, reason)
+        match verdict:
+            case UseAnswer():
+                return decode_json(reply.body, answer_type).map_err(self._make_error)
+            case RejectAnswer(reason=reason):
+                if reply.status != 200:
+                    reason = f"expected HTTP status 200, got {reply.status}: {reason}"
+                return self._fail(reason)
+        return Ok(verdict)
 
     def _fail(self, reason: str) -> Err[StepError]:
         return Err(self._make_error(reason))
@@ -114,7 +158,7 @@
 
     def _apply(
         self, raw_items: Iterable[msgspec.Raw], whole: bool, revision: int, confirmed_at: float
-    ) -> None:
+    ) -> Result[None, StepError]:
         now = time.monotonic()
         records: list[VmRecord] = []
         removed: list[tuple[str, int]] = []
@@ -127,10 +171,13 @@
                     removed.append((item.key.removeprefix(SERVER_PREFIX), item.revision))
                 else:
                     records.append(record)
-        changes = ListChanges(tuple(records), tuple(removed), whole, StateVersion(0, revision))
-        self._balancer.server_list.apply(changes, now)
-        self._balancer.server_list.confirm(confirmed_at)
-        self._watch_revision = revision
+        version = StateVersion(self._cursor.version.era, revision)
+        server_list = self._balancer.server_list
+        if not server_list.apply(ListChanges(tuple(records), tuple(removed), whole, version), now):
+            return self._fail(f"answer {version} is older than the list {server_list.version}")
+        server_list.confirm(confirmed_at)
+        self._cursor.advance(revision)
+        return Ok(None)
 
     def _decode_server(self, item: StoreItem, now: float) -> VmRecord | None:
         """Returns a server's record; None for a tombstone or an invalid entry.
@@ -147,7 +194,7 @@
         return None
 
     def _apply_routes(self, item: StoreItem) -> None:
-        match decode_routes(item):
+        match decode_routes(item, self._cursor.version.era):
             case Ok(table):
                 self._balancer.apply_routes(table)
             case Err(reason):
@@ -169,3 +216,11 @@
             revision=item.revision,
             reason=reason,
         )
+
+
+def _decode_era(headers: dict[str, str]) -> Result[int, str]:
+    """Returns the store's era; 0 for a store that names none."""
+    text = headers.get(ERA_HEADER, "0").strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+        return Err(f"expected a number in the header {ERA_HEADER}, got {text[:40]!r}")
+    return Ok(int(text))
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -7,12 +7,18 @@
 A server whose entry disappears is at first unlisted, then retired (`gone`) once the absence is
 confirmed, and forgotten `forget_seconds` after that. It is listed again if its entry returns before
 that. A restart of a server retires its previous incarnation at once.
+
+The platform's store may be restored from a copy some seconds old, which starts a new era. Its first
+snapshot replaces the entries of the older era, but proves little about the servers: those that the
+copy lacks may have written their entry after it was taken, and those that it has may have left
+since. Both are settled by what follows in the new era, as after an outage.
 """
 
 import logging
 
 import msgspec
 
+from .addresses import Address
 from .backend_servers import BackendServer, BackendServers
 from .flow_labels import LabelIndex
 from .flow_settings import ListSettings
@@ -53,7 +59,7 @@
     """Keeps the servers of all services in step with the published list.
 
     Changes may be duplicated, delayed and come from several sources, so an entry is only ever
-    replaced by one with a higher revision.
+    replaced by one with a higher revision of the same era, or by the snapshot of a newer era.
     """
 
     def __init__(self, settings: ListSettings):
@@ -63,11 +69,14 @@
         self._removals_known_since = 0
         self._unlisted: dict[str, BackendServer] = {}
         self._gone: list[RemovedServer] = []
+        # Entries of a restored copy whose servers had left the list before.
+        self._awaiting: dict[str, VmRecord] = {}
         self.servers = BackendServers()
         self.labels = LabelIndex()
         self.version = NOTHING_READ
         self.confirmed_at = float("-inf")
         self._reachable_since = float("inf")
+        self._era_began_at = float("-inf")
 
     @property
     def loaded(self) -> bool:
@@ -78,19 +87,30 @@
         """Returns the delta from a follower's version, or a snapshot.
 
         A snapshot is returned if removals since that version are not known, or if the follower's
-        version is ahead of this list.
+        version is of another era or ahead of this list.
         """
         revision = version.revision
-        if not self._removals_known_since <= revision <= self.version.revision:
+        known = self._removals_known_since <= revision <= self.version.revision
+        if version.era != self.version.era or not known:
             return ListChanges(tuple(self._records.values()), (), True, self.version)
         records = tuple(r for r in self._records.values() if r.revision > revision)
         removed = tuple(item for item in self._removed.items() if item[1] > revision)
         return ListChanges(records, removed, False, self.version)
 
-    def apply(self, changes: ListChanges, now: float) -> None:
-        """Applies a delta or a snapshot; ignored if it is older than this list."""
+    def apply(self, changes: ListChanges, now: float) -> bool:
+        """Applies a delta or a snapshot.
+
+        Returns:
+            Whether it was applied: not if it is older than this list, or a delta of a newer era.
+        """
         if changes.version < self.version:
-            return
+            return False
+        if changes.version.era > self.version.era:
+            if not changes.whole:
+                return False
+            if self.loaded:
+                self._replace(changes, now)
+                return True
         for record in changes.records:
             self._put(record, now)
         for name, revision in changes.removed:
@@ -101,6 +121,71 @@
                 self._remove(name, changes.version.revision, now)
             self._removals_known_since = self._removals_known_since or changes.version.revision
         self.version = changes.version
+        return True
+
+    def _replace(self, changes: ListChanges, now: float) -> None:
+        """Replaces all entries by the first snapshot of a newer era; see the module's comment."""
+        previous, removed = self.version, self._removed
+        self.version = changes.version
+        self._records = {record.name: record for record in changes.records}
+        self._removed = {}
+        self._removals_known_since = changes.version.revision
+        self._awaiting = {}
+        self._era_began_at = now
+        self._reachable_since = float("inf")
+        missing = [s for s in self.servers.values() if s.name not in self._records and not s.gone]
+        for server in missing:
+            self._unlist(server, now)
+        ignored = 0
+        for record in changes.records:
+            current = self.servers.get(record.name)
+            if current is not None and record.incarnation < current.incarnation:
+                ignored += 1
+                self._unlist(current, now)
+            elif self._was_missing(record, removed) or self._is_address_taken(record):
+                self._await(record)
+            else:
+                self._list(record, now)
+        log_event(
+            logger,
+            LogEvent.LIST_REPLACED,
+            version=changes.version,
+            previous=previous,
+            entries=len(self._records),
+            missing=len(missing),
+            awaiting=len(self._awaiting),
+            ignored=ignored,
+        )
+
+    def _was_missing(self, record: VmRecord, removed: dict[str, int]) -> bool:
+        """Whether the incarnation had left the list of the older era."""
+        current = self.servers.get(record.name)
+        if current is None:
+            return record.name in removed
+        same = current.incarnation == record.incarnation
+        return same and (current.unlisted_since is not None or current.unverified)
+
+    def _is_address_taken(self, record: VmRecord) -> bool:
+        """Whether another server was listed at the address later, unless it is gone as well."""
+        occupant = self.servers.at(Address(record.host, record.data_port))
+        if occupant is None or occupant.name == record.name or occupant.gone:
+            return False
+        current = self.servers.get(record.name)
+        return current is None or current.unlisted_since is not None
+
+    def _await(self, record: VmRecord) -> None:
+        """Leaves a server unlisted although the copy has it, until its entry is verified.
+
+        If it was gone, its flows continue, unless its address may belong to another server by now.
+        """
+        self._awaiting[record.name] = record
+        server = self.servers.get(record.name)
+        if server is None or self._is_address_taken(record):
+            return
+        self._unlisted.pop(server.name, None)
+        if server.gone:
+            self._restore(server)
+            server.unverified = True
 
     def _put(self, record: VmRecord, now: float) -> None:
         current_record = self._records.get(record.name)
@@ -109,6 +194,10 @@
             return
         self._records[record.name] = record
         self._removed.pop(record.name, None)
+        self._list(record, now)
+
+    def _list(self, record: VmRecord, now: float) -> None:
+        self._awaiting.pop(record.name, None)
         current = self.servers.get(record.name)
         if current is not None and current.incarnation != record.incarnation:
             # Any earlier answer came from the previous incarnation, which will never answer again.
@@ -123,6 +212,7 @@
         if server is None:
             return
         server.warm_at = record.warm_at
+        server.unverified = False
         if server is not current:
             server.separable = self.labels.add(server)
             log_event(
@@ -147,11 +237,25 @@
         del self._records[name]
         self._record_removal(name, revision)
         server = self.servers.get(name)
-        if server is None or server.unlisted_since is not None or server.gone:
+        was_awaiting = self._awaiting.pop(name, None) is not None
+        if server is None or server.gone:
+            return
+        if was_awaiting:
+            # Its absence before the copy does not count: the copy listed it meanwhile.
+            server.unlisted_since = None
+        if server.unlisted_since is None:
+            self._unlist(server, now)
+
+    def _unlist(self, server: BackendServer, now: float) -> None:
+        if server.gone:
+            return
+        self._unlisted[server.name] = server
+        if server.unlisted_since is not None:
             return
         server.unlisted_since = now
-        self._unlisted[name] = server
-        log_event(logger, LogEvent.SERVER_UNLISTED, server=name, revision=revision)
+        log_event(
+            logger, LogEvent.SERVER_UNLISTED, server=server.name, revision=self.version.revision
+        )
 
     def _record_removal(self, name: str, revision: int) -> None:
         self._removed.pop(name, None)
@@ -163,7 +267,7 @@
     def confirm(self, confirmed_at: float) -> None:
         """Records that the list matched the platform's at a time on the monotonic clock."""
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        self._reachable_since = min(self._reachable_since, confirmed_at)
+        self._reachable_since = min(self._reachable_since, max(confirmed_at, self._era_began_at))
 
     def mark_unreachable(self) -> None:
         """Records that the platform does not answer, so that missing entries prove nothing."""
@@ -172,6 +276,8 @@
     def absence_confirmed(self, since: float) -> bool:
         """Whether the platform has confirmed that an entry missing at `since` stays missing.
 
+        The same holds for an entry that a restored copy has and that stays.
+
         The confirmation must come `relist_seconds` after `since` and after the platform's last
         recovery, which gives entries that expired during an outage the time to be written again.
         """
@@ -180,10 +286,14 @@
         )
 
     def expire(self, now: float) -> None:
-        """Retires servers confirmed as missing and forgets those retired `forget_seconds` ago."""
+        """Acts on confirmed entries and absences, and forgets servers `forget_seconds` later."""
         for server in list(self._unlisted.values()):
             if self.absence_confirmed(server.unlisted_since):
                 self._retire(server, "left the list", now)
+        if self._awaiting and self.absence_confirmed(self._era_began_at):
+            for record in list(self._awaiting.values()):
+                if not self._is_address_taken(record):
+                    self._list(record, now)
         while self._gone and self._gone[0].forget_at <= now:
             self._forget(self._gone.pop(0).server)
 
