Followers and readers exchange the era of lists and routes

Answers leave the era out at 0. A state of an older era is not used and its peer is avoided like a stale one. The era is in the state dump and is a gauge.

--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/flow_dumps.py
@@ -19,6 +19,8 @@
     dump = {
         "ready": balancer.ready,
         "routes_version": routes.version if routes else None,
+        "routes_era": routes.era if routes else None,
+        "list_era": balancer.server_list.version.era,
         "list_revision": balancer.server_list.version.revision,
         "list_age_seconds": round(now - balancer.server_list.confirmed_at, 3),
         "backend_servers": [
@@ -46,6 +48,7 @@
         "zone": server.zone,
         "leaving": server.leaving,
         "gone": server.gone,
+        "unverified": server.unverified,
         "unlisted_seconds": None if unlisted_since is None else round(now - unlisted_since, 3),
         "in_progress": server.in_progress,
         "open_flows": server.open_flows,
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/flow_metrics.py
@@ -24,6 +24,7 @@
         yield make_gauge(
             "list_revision", "Revision of the server list", balancer.server_list.version.revision
         )
+        yield make_gauge("list_era", "Era of the server list", balancer.server_list.version.era)
         version = balancer.routes.version if balancer.routes else 0
         yield make_gauge("routes_version", "Version of the routes in force", version)
         yield make_gauge("ready", "1 while flows can be placed", balancer.ready)
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -110,12 +110,16 @@
         routes: version of the routes that the follower has.
         wait: how long to wait for a change, in seconds.
         compress: whether the follower decodes compressed states; those of older builds do not.
+        era: era of `after`; None from followers of builds that know no eras.
+        routes_era: era of `routes`; None as for `era`.
     """
 
     after: int
     routes: int
     wait: Annotated[float, Meta(ge=0)]
     compress: bool = False
+    era: Annotated[int, Meta(ge=0)] | None = None
+    routes_era: Annotated[int, Meta(ge=0)] | None = None
 
 
 class PacketVm:
@@ -268,7 +272,12 @@
             return HttpResponse(400)
         wait = min(follower_request.wait, MAX_FOLLOWER_WAIT_SECONDS)
         body = await self._publisher.answer(
-            follower_request.after, follower_request.routes, wait, follower_request.compress
+            follower_request.after,
+            follower_request.routes,
+            wait,
+            follower_request.compress,
+            follower_request.era,
+            follower_request.routes_era,
         )
         return HttpResponse(200, body)
 
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -13,7 +13,7 @@
 from .http_calls import MAX_BODY_BYTES
 from .json_bodies import decode_json
 from .records import VmRecord
-from .routes import RouteChanges
+from .routes import RouteChanges, RouteTable
 from .server_lists import ListChanges
 from .state_versions import StateVersion
 
@@ -23,7 +23,7 @@
 COMPRESSION_LEVEL = 1
 
 
-class PublishedState(msgspec.Struct, frozen=True):
+class PublishedState(msgspec.Struct, frozen=True, omit_defaults=True):
     """The changes since the state that a follower has.
 
     Attributes:
@@ -33,6 +33,7 @@
         revision: revision of the list once the changes are applied.
         age: seconds since the platform confirmed this state; None if no list has been read yet.
         routes: changes of the routes; None if there are none.
+        era: era of the revision; left out at 0, since older builds know no eras.
     """
 
     records: tuple[VmRecord, ...]
@@ -41,6 +42,7 @@
     revision: Annotated[int, Meta(ge=0)]
     age: Annotated[float, Meta(ge=0)] | None
     routes: RouteChanges | None = None
+    era: Annotated[int, Meta(ge=0)] = 0
 
 
 class StatePublisher:
@@ -56,15 +58,30 @@
         self._changed = asyncio.Event()
 
     async def answer(
-        self, revision: int, routes_version: int, wait: float, compress: bool = False
+        self,
+        revision: int,
+        routes_version: int,
+        wait: float,
+        compress: bool = False,
+        era: int | None = None,
+        routes_era: int | None = None,
     ) -> bytes:
-        """Returns the changes after a list revision and a routes version, encoded.
-
-        Waits up to `wait` seconds if there are none yet. `compress` says whether the follower
-        decodes compressed states.
+        """Returns the changes after the versions that a follower has, encoded.
+
+        Waits up to `wait` seconds if there are none yet.
+
+        Args:
+            revision: revision of the follower's list.
+            routes_version: version of the follower's routes.
+            wait: longest wait, in seconds.
+            compress: whether the follower decodes compressed states.
+            era: era of the revision; None if the follower is of an older build. It takes a state by
+                its revision alone and asks again at once, so it is not answered for a higher era.
+            routes_era: era of the routes version; None as for `era`.
         """
+        known = _KnownVersions(revision, era, routes_version, routes_era)
         deadline = time.monotonic() + wait
-        while not self._has_changes(revision, routes_version):
+        while not self._has_changes(known):
             remaining = deadline - time.monotonic()
             if remaining <= 0:
                 break
@@ -73,17 +90,19 @@
                     await self._changed.wait()
             except TimeoutError:
                 break
-        return encode_state(self._make_state(revision, routes_version), compress)
+        return encode_state(self._make_state(known), compress)
 
-    def _has_changes(self, revision: int, routes_version: int) -> bool:
+    def _has_changes(self, known: "_KnownVersions") -> bool:
         routes = self._balancer.routes
-        newer_routes = routes is not None and routes.version > routes_version
-        return newer_routes or self._balancer.server_list.version.revision > revision
+        newer_routes = routes is not None and known.are_routes_older(routes)
+        return newer_routes or known.is_list_older(self._balancer.server_list.version)
 
-    def _make_state(self, revision: int, routes_version: int) -> PublishedState:
+    def _make_state(self, known: "_KnownVersions") -> PublishedState:
         now = time.monotonic()
         balancer = self._balancer
-        changes = balancer.server_list.changes_since(StateVersion(0, revision))
+        # A follower without eras may hold a revision of any era: unless there was one era only, it
+        # gets a snapshot.
+        changes = balancer.server_list.changes_since(StateVersion(known.era or 0, known.revision))
         confirmed_at = balancer.server_list.confirmed_at
         return PublishedState(
             tuple(_shift_warm_at(record, -now) for record in changes.records),
@@ -91,10 +110,29 @@
             changes.whole,
             changes.version.revision,
             now - confirmed_at if balancer.server_list.loaded else None,
-            balancer.route_history.changes_since(routes_version),
+            balancer.route_history.changes_since(known.routes_version, known.routes_era),
+            changes.version.era,
         )
 
 
+class _KnownVersions(msgspec.Struct, frozen=True):
+    """The versions that a follower has; without eras if it is of an older build."""
+
+    revision: int
+    era: int | None
+    routes_version: int
+    routes_era: int | None
+
+    def is_list_older(self, version: StateVersion) -> bool:
+        if self.era is None:
+            return self.revision < version.revision
+        return StateVersion(self.era, self.revision) < version
+
+    def are_routes_older(self, routes: RouteTable) -> bool:
+        era = routes.era if self.routes_era is None else self.routes_era
+        return (self.routes_version, era) < routes.order
+
+
 def encode_state(state: PublishedState, compress: bool) -> bytes:
     """Returns a state as JSON, compressed by zlib if that is wanted and the state is large."""
     body = msgspec.json.encode(state)
@@ -117,17 +155,26 @@
     return decode_json(body, PublishedState)
 
 
-def apply_state(state: PublishedState, balancer: FlowBalancer, now: float) -> None:
-    """Applies another entry VM's state as far as it is newer than the balancer's own."""
+def apply_state(state: PublishedState, balancer: FlowBalancer, now: float) -> bool:
+    """Applies another entry VM's state as far as it is newer than the balancer's own.
+
+    Returns:
+        Whether the state could be used. It cannot if it is of an older era, for example because the
+        peer was frozen, is cut off from the platform or is of a build that knows no eras, or if it
+        is a delta of a newer era, which has no base here.
+    """
+    server_list = balancer.server_list
+    if state.era < server_list.version.era:
+        return False
     if state.routes is not None:
         balancer.apply_route_changes(state.routes)
     if state.age is None:
-        return
+        return True
     records = tuple(_shift_warm_at(record, now) for record in state.records)
-    changes = ListChanges(records, state.removed, state.whole, StateVersion(0, state.revision))
-    balancer.server_list.apply(changes, now)
-    if changes.version >= balancer.server_list.version:
-        balancer.server_list.confirm(now - state.age)
+    version = StateVersion(state.era, state.revision)
+    if server_list.apply(ListChanges(records, state.removed, state.whole, version), now):
+        server_list.confirm(now - state.age)
+    return state.era == server_list.version.era
 
 
 def _shift_warm_at(record: VmRecord, seconds: float) -> VmRecord:
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -94,12 +94,7 @@
             self._followed_address = address
             self._client = HttpClient(address, Step.FOLLOW)
             log_event(logger, LogEvent.PEER_FOLLOWED, peer=str(address))
-        server_list = self._balancer.server_list
-        routes = self._balancer.routes
-        target = (
-            f"/v1/published?after={server_list.version.revision}"
-            f"&routes={routes.version if routes else 0}&wait={wait}&compress=true"
-        )
+        target = self._make_question(wait)
         reply = await self._client.get(target, wait + self._settings.peers.timeout)
         now = time.monotonic()
         match reply:
@@ -115,11 +110,29 @@
             case Err(error):
                 self._record_peer_failure(address, error)
 
+    def _make_question(self, wait: float) -> str:
+        """Returns the request target that asks a peer for changes.
+
+        The eras are sent even if they are 0: their absence shows a follower of an older build.
+        """
+        version = self._balancer.server_list.version
+        routes_version, routes_era = (
+            self._balancer.routes.order if self._balancer.routes else (0, 0)
+        )
+        return (
+            f"/v1/published?after={version.revision}&era={version.era}&routes={routes_version}"
+            f"&routes_era={routes_era}&wait={wait}&compress=true"
+        )
+
     def _apply_response(self, address: Address, body: bytes, now: float) -> bool:
-        """Applies the state in another entry VM's response; returns whether it could be decoded."""
+        """Applies the state in another entry VM's response; returns whether it could be used."""
         match decode_state(body):
             case Ok(state):
-                apply_state(state, self._balancer, now)
+                if not apply_state(state, self._balancer, now):
+                    known = self._balancer.server_list.version
+                    reason = f"state of era {state.era} cannot follow version {known}"
+                    self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
+                    return False
                 self._group.record_peer_read(address, state.age, now)
                 self._publisher.notify()
                 return True
