Old and new builds beside each other, routes over restores, and how an operator sees a restore

Tests hold the structures of the older build: an old follower gets from a new reader what it got before as long as there was one era, and waits instead of spinning afterwards; a new follower avoids an old reader once it knows a newer era.

--- a/tests/flow_worlds.py
+++ b/tests/flow_worlds.py
@@ -41,9 +41,9 @@
     )
 
 
-def route_table(version=1, service="booking", idle_timeout=15.0):
+def route_table(version=1, service="booking", idle_timeout=15.0, era=0):
     route = Route(ROUTE_IP, ROUTE_PORT, (WeightedService(service, 1.0),))
-    return RouteTable(version, (route,), idle_timeout)
+    return RouteTable(version, (route,), idle_timeout, era)
 
 
 def snapshot(*records, revision=100, era=0):
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -7,7 +7,16 @@
 from marjoramford.flow_labels import LabelIndex, derive_label
 from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
 
-from .flow_worlds import FlowWorld, record, removal, route_table, snapshot, upsert
+from .flow_worlds import (
+    ROUTE_IP,
+    ROUTE_PORT,
+    FlowWorld,
+    record,
+    removal,
+    route_table,
+    snapshot,
+    upsert,
+)
 
 
 def two_server_world():
@@ -61,6 +70,40 @@
     assert world.balancer.routes.version == 5
 
 
+def routed_service(world):
+    route = world.balancer.routes.find(ROUTE_IP, ROUTE_PORT)
+    return route.services[0].name
+
+
+def test_a_lower_version_of_routes_in_a_newer_era_does_not_replace_those_in_force():
+    world = two_server_world()
+    world.balancer.apply_routes(route_table(version=5, service="other"))
+    world.balancer.apply_routes(route_table(version=4, era=1))
+    assert routed_service(world) == "other"
+    assert world.balancer.routes.order == (5, 0)
+
+
+def test_a_version_of_routes_written_again_in_a_newer_era_replaces_the_older_content():
+    world = two_server_world()
+    world.balancer.apply_routes(route_table(version=5))
+    world.balancer.apply_routes(route_table(version=5, service="other"))
+    assert routed_service(world) == "booking"
+    world.balancer.apply_routes(route_table(version=5, service="other", era=1))
+    assert routed_service(world) == "other"
+    world.balancer.apply_routes(route_table(version=5))
+    assert routed_service(world) == "other"
+
+
+def test_a_delta_of_routes_whose_base_is_of_another_era_is_ignored():
+    world = two_server_world()
+    world.balancer.apply_routes(route_table(version=5, era=1))
+    newer = route_table(version=6, service="other", era=1)
+    world.balancer.apply_route_changes(newer.diff_from(route_table(version=5)))
+    assert world.balancer.routes.order == (5, 1)
+    world.balancer.apply_route_changes(newer.diff_from(route_table(version=5, era=1)))
+    assert world.balancer.routes.order == (6, 1)
+
+
 def test_a_retransmitted_opening_packet_goes_to_another_server_if_the_first_is_silent():
     world = two_server_world()
     caller = world.caller()
--- a/tests/test_flow_metrics.py
+++ b/tests/test_flow_metrics.py
@@ -12,7 +12,7 @@
 from marjoramford.logs import LogEvent, NonBlockingHandler, PlainFormatter, log_event
 from marjoramford.peer_groups import PeerGroup
 
-from .flow_worlds import SETTINGS, FlowWorld, record
+from .flow_worlds import SETTINGS, FlowWorld, record, snapshot
 
 
 def busy_world():
@@ -43,6 +43,28 @@
     assert dump["entry_vms"] == []
 
 
+def test_the_era_of_the_list_is_a_gauge_and_in_the_dump():
+    world = busy_world()
+    assert "marjoramford_list_era 0.0" in render_flow_metrics(world.balancer).decode()
+    world.apply(snapshot(record("s-1"), revision=7, era=3))
+    assert "marjoramford_list_era 3.0" in render_flow_metrics(world.balancer).decode()
+    own = Address("127.0.0.1", 3)
+    group = PeerGroup(EntryVm("front-1", 1, "a", own, own), (), SETTINGS.peers, Random(1))
+    dump = json.loads(dump_state(world.balancer, group))
+    assert (dump["list_era"], dump["list_revision"], dump["routes_era"]) == (3, 7, 0)
+
+
+def test_a_restore_is_logged_with_what_changed(caplog):
+    logging.getLogger("marjoramford").propagate = True
+    world = FlowWorld(record("s-1"), record("s-2"))
+    with caplog.at_level(logging.INFO, logger="marjoramford"):
+        world.apply(snapshot(record("s-1"), revision=7, era=1))
+    replaced = [line for line in caplog.records if line.event == LogEvent.LIST_REPLACED]
+    assert [(str(line.fields["version"]), line.fields["missing"]) for line in replaced] == [
+        ("1.7", 1)
+    ]
+
+
 def test_log_events_of_a_flow_name_it_and_the_inputs_of_the_decision(caplog):
     logging.getLogger("marjoramford").propagate = True
     with caplog.at_level(logging.INFO, logger="marjoramford"):
--- /dev/null
+++ b/tests/test_mixed_builds.py
@@ -0,0 +1,210 @@
+"""Followers and readers of builds before and after eras, in one zone during a rolling restart.
+
+The structures of the older build are written out here as it had them.
+"""
+
+import asyncio
+import time
+from random import Random
+
+import msgspec
+
+from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.http_services import HttpRequest, HttpResponse
+from marjoramford.packet_daemons import PacketVm
+from marjoramford.peer_groups import FollowPeer
+from marjoramford.published_states import PublishedState, StatePublisher, apply_state, decode_state
+from marjoramford.records import VmRecord
+from marjoramford.routes import Route
+from marjoramford.state_versions import StateVersion
+
+from .flow_worlds import SETTINGS, FlowWorld, record, route_table, snapshot, upsert
+from .test_state_readers import names, serve
+
+
+class OldRouteChanges(msgspec.Struct, frozen=True):
+    version: int
+    base: int
+    idle_timeout: float
+    routes: tuple[Route, ...]
+    removed: tuple[tuple[int, int], ...] = ()
+
+
+class OldState(msgspec.Struct, frozen=True):
+    records: tuple[VmRecord, ...]
+    removed: tuple[tuple[str, int], ...]
+    whole: bool
+    revision: int
+    age: float | None
+    routes: OldRouteChanges | None = None
+
+
+def make_vm(*records, revision=100, era=0):
+    """An entry VM of this build whose list is of an era."""
+    vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
+    now = time.monotonic()
+    vm.balancer.apply_routes(route_table())
+    vm.balancer.server_list.apply(snapshot(*records, revision=revision, era=era), now)
+    vm.balancer.server_list.confirm(now)
+    return vm
+
+
+async def ask(vm, query):
+    answer = await vm._handle_request(HttpRequest("GET", f"/v1/published?{query}", b""))
+    assert answer.status == 200
+    return answer.body
+
+
+def test_without_a_restore_an_old_follower_gets_what_it_got_before():
+    async def scenario():
+        vm = make_vm(record("s-1"), record("s-2", 99))
+        body = await ask(vm, "after=50&routes=0&wait=0")
+        assert set(msgspec.json.decode(body)) <= set(OldState.__struct_fields__)
+        state = msgspec.json.decode(body, type=OldState)
+        assert (state.revision, state.whole) == (100, True)
+        assert set(msgspec.json.decode(body)["routes"]) <= set(OldRouteChanges.__struct_fields__)
+        vm.balancer.server_list.apply(upsert(record("s-3", 101)), time.monotonic())
+        state = msgspec.json.decode(await ask(vm, "after=100&routes=1&wait=0"), type=OldState)
+        assert (state.whole, [entry.name for entry in state.records]) == (False, ["s-3"])
+        assert state.routes is None
+
+    asyncio.run(scenario())
+
+
+def test_an_old_follower_with_a_higher_revision_waits_and_does_not_spin():
+    async def scenario():
+        vm = make_vm(record("s-1"), revision=7, era=1)
+        asked_at = time.monotonic()
+        state = msgspec.json.decode(await ask(vm, "after=10&routes=1&wait=0.2"), type=OldState)
+        assert time.monotonic() - asked_at >= 0.2
+        assert state.revision == 7
+        # It takes the state once its revision is higher, and as a snapshot.
+        vm.balancer.server_list.apply(upsert(record("s-2", 11), era=1), time.monotonic())
+        state = msgspec.json.decode(await ask(vm, "after=10&routes=1&wait=20"), type=OldState)
+        assert (state.whole, state.revision) == (True, 11)
+        assert {entry.name for entry in state.records} == {"s-1", "s-2"}
+        asked_at = time.monotonic()
+        await ask(vm, "after=11&routes=1&wait=0.2")
+        assert time.monotonic() - asked_at >= 0.2
+
+    asyncio.run(scenario())
+
+
+def test_an_old_follower_gets_whole_routes_after_a_restore_and_does_not_spin():
+    async def scenario():
+        vm = make_vm(record("s-1"), revision=7, era=1)
+        vm.balancer.apply_routes(route_table(version=5, era=1))
+        asked_at = time.monotonic()
+        await ask(vm, "after=10&routes=5&wait=0.2")
+        assert time.monotonic() - asked_at >= 0.2
+        vm.balancer.apply_routes(route_table(version=6, service="other", era=1))
+        state = msgspec.json.decode(await ask(vm, "after=10&routes=5&wait=20"), type=OldState)
+        assert (state.routes.version, state.routes.base) == (6, 0)
+
+    asyncio.run(scenario())
+
+
+def old_body(balancer, revision=100):
+    """What a reader of the older build answers."""
+    records = balancer.server_list.changes_since(StateVersion()).records
+    return msgspec.json.encode(OldState(records, (), True, revision, 0.1))
+
+
+def test_a_follower_without_era_takes_the_state_of_an_old_reader():
+    leader, follower = FlowWorld(record("s-1")), FlowBalancer(SETTINGS, Random(1), 0.0)
+    assert apply_state(decode_state(old_body(leader.balancer)).unwrap(), follower, 10.0)
+    assert names(follower) == ["s-1"]
+    assert follower.server_list.version == StateVersion(0, 100)
+
+
+def test_a_follower_of_a_new_era_avoids_an_old_reader_whatever_its_revision():
+    async def scenario():
+        leader = FlowWorld(record("s-1"))
+        questions = []
+
+        async def answer(request):
+            questions.append(request.target)
+            return HttpResponse(200, old_body(leader.balancer, revision=999))
+
+        server, address = await serve(answer)
+        vm = make_vm(record("s-2"), revision=7, era=1)
+        await vm._reader._follow(address, 0.0)
+        assert vm.balancer.server_list.version == StateVersion(1, 7)
+        assert names(vm.balancer) == ["s-2"]
+        assert vm._group._avoided_until[address] > time.monotonic()
+        assert vm._group.choose_source(time.monotonic()) != FollowPeer(address, 0.0)
+        # An old reader finds the integers that it expects.
+        assert "after=7&" in questions[0]
+        assert "&routes=1&" in questions[0]
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_follower_with_a_higher_revision_of_the_older_era_is_answered_at_once():
+    async def scenario():
+        vm = make_vm(record("s-1"), revision=7, era=1)
+        async with asyncio.timeout(5):
+            body = await ask(vm, "after=10&era=0&routes=1&routes_era=0&wait=20")
+        state = decode_state(body).unwrap()
+        assert (state.era, state.revision, state.whole) == (1, 7, True)
+        follower = FlowWorld(record("s-9"))
+        assert apply_state(state, follower.balancer, follower.now)
+        assert names(follower.balancer) == ["s-1"]
+
+    asyncio.run(scenario())
+
+
+def test_a_follower_of_a_newer_era_waits_for_a_reader_that_lags():
+    async def scenario():
+        lagging = make_vm(record("s-1"), revision=10)
+        asked = asyncio.create_task(ask(lagging, "after=7&era=1&routes=1&routes_era=0&wait=20"))
+        await asyncio.sleep(0.05)
+        assert not asked.done()
+        lagging.balancer.server_list.apply(
+            snapshot(record("s-2"), revision=8, era=1), time.monotonic()
+        )
+        lagging._publisher.notify()
+        state = decode_state(await asked).unwrap()
+        assert (state.era, state.revision) == (1, 8)
+
+    asyncio.run(scenario())
+
+
+def test_a_replayed_state_of_an_older_era_changes_nothing():
+    leader = FlowWorld(record("s-1"))
+    follower = FlowWorld(record("s-1"))
+    late = asyncio.run(StatePublisher(leader.balancer).answer(0, 0, 0.0, era=0, routes_era=0))
+    leader.balancer.apply_routes(route_table(version=9, service="other"))
+    follower.apply(snapshot(record("s-2"), revision=7, era=1))
+    before = follower.balancer.server_list.confirmed_at
+    assert not apply_state(decode_state(late).unwrap(), follower.balancer, follower.now + 9)
+    assert names(follower.balancer) == ["s-2"]
+    assert follower.balancer.server_list.confirmed_at == before
+
+
+def test_the_eras_are_left_out_at_zero_and_add_few_bytes_otherwise():
+    state = PublishedState((), (), False, 7, 0.1)
+    plain = msgspec.json.encode(state)
+    assert b"era" not in plain
+    assert len(msgspec.json.encode(msgspec.structs.replace(state, era=12))) - len(plain) <= 16
+
+
+def test_the_same_routes_in_a_newer_era_are_not_sent_again():
+    async def scenario():
+        vm = make_vm(record("s-1"))
+        vm.balancer.apply_routes(route_table(era=1))
+        body = await ask(vm, "after=100&era=0&routes=1&routes_era=0&wait=20")
+        state = decode_state(body).unwrap()
+        assert (state.routes.routes, state.routes.removed) == ((), ())
+        follower = FlowWorld(record("s-1"))
+        before = follower.balancer.routes.routes()
+        follower.balancer.apply_route_changes(state.routes)
+        assert follower.balancer.routes.order == (1, 1)
+        assert follower.balancer.routes.routes() == before
+        asked_at = time.monotonic()
+        body = await ask(vm, "after=100&era=0&routes=1&routes_era=1&wait=0.2")
+        assert time.monotonic() - asked_at >= 0.2
+        assert decode_state(body).unwrap().routes is None
+
+    asyncio.run(scenario())
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -48,3 +48,38 @@
     history.add(RouteTable(1, tuple(route(port) for port in range(60)), 15.0))
     history.add(RouteTable(2, tuple(route(port) for port in range(61)), 15.0))
     assert len(msgspec.json.encode(history.changes_since(1))) < 250
+
+
+@given(tables, st.data())
+def test_deltas_lead_from_any_version_and_era_to_the_newest(contents, data):
+    """Each table is either a new version or the same one, written again in a newer era."""
+    history = RouteHistory(4)
+    made = {}
+    version = era = 0
+    for content in contents:
+        if version and data.draw(st.booleans()):
+            era += 1
+        else:
+            version += 1
+        table = RouteTable(version, tuple(route(*item) for item in content.items()), 15.0, era)
+        made[table.order] = table
+        history.add(table)
+    newest = made[version, era]
+    for order, table in made.items():
+        changes = history.changes_since(*order)
+        if table is newest:
+            assert changes is None
+            continue
+        base = (
+            RouteTable(0, (), 15.0) if changes.base == 0 else made[changes.base, changes.base_era]
+        )
+        assert base is table or changes.base == 0
+        result = base.with_changes(changes)
+        assert result.order == newest.order
+        assert result.has_content_of(newest)
+
+
+def test_the_era_of_routes_is_left_out_of_messages_at_zero():
+    history = RouteHistory(4)
+    history.add(RouteTable(1, (route(1),), 15.0))
+    assert b"era" not in msgspec.json.encode(history.changes_since(0))
