--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -262,7 +262,7 @@
         self._update_in_progress(flow)
         if self._is_dead(flow, now):
             self._end_flow(flow)
-            log_dead_server(flow, self.server_list, self._loss_detector.is_lossy(now), now)
+            self._log_dead_server(flow, now)
             return ResetFlow("server is dead")
         if header.aborts:
             self._end_flow(flow)
@@ -280,9 +280,17 @@
             self._loss_detector.is_lossy(now),
             now,
             self._settings.silence,
-            self._link_detector.is_suspected(server.name, server.responsiveness, now),
+            self._is_link_suspected(server, now),
         )
 
+    def _log_dead_server(self, flow: PacketFlow, now: float) -> None:
+        lossy = self._loss_detector.is_lossy(now)
+        link_suspected = self._is_link_suspected(flow.server, now)
+        log_dead_server(flow, self.server_list, lossy, link_suspected, now)
+
+    def _is_link_suspected(self, server: BackendServer, now: float) -> bool:
+        return self._link_detector.is_suspected(server.name, server.responsiveness, now)
+
     def _adopt_flow(self, header: PacketHeader, now: float) -> PacketFlow | None:
         """Adds a flow under the label of its packet; returns None if the label is unknown.
 
@@ -361,7 +369,7 @@
         evidence.record_retransmission(waiting_since, now, self._settings.silence.doubt_seconds)
         self._link_detector.record_retransmission(server.name, now)
         if not was_suspected and evidence.suspected_until > now:
-            log_silence(server, waiting_since, now)
+            log_silence(server, waiting_since, self._is_link_suspected(server, now), now)
 
     def _update_in_progress(self, flow: PacketFlow) -> None:
         """Counts the flow as a request in progress at its server while an answer is pending."""
@@ -398,7 +406,7 @@
                 continue
             if self._is_dead(flow, now):
                 self._end_flow(flow)
-                log_dead_server(flow, self.server_list, self._loss_detector.is_lossy(now), now)
+                self._log_dead_server(flow, now)
                 resets.append(FlowReset(flow.key, flow.acknowledged))
         return resets
 
--- a/marjoramford/flow_logs.py
+++ b/marjoramford/flow_logs.py
@@ -33,7 +33,9 @@
     )
 
 
-def log_dead_server(flow: PacketFlow, server_list: ServerList, lossy: bool, now: float) -> None:
+def log_dead_server(
+    flow: PacketFlow, server_list: ServerList, lossy: bool, link_suspected: bool, now: float
+) -> None:
     """Logs the reset of a flow with the evidence that its server is dead."""
     server = flow.server
     evidence = server.responsiveness
@@ -47,12 +49,15 @@
         listed=server.unlisted_since is None,
         unanswered=evidence.unanswered,
         lossy=lossy,
+        link_suspected=link_suspected,
         answered_seconds_ago=evidence.answer_age(now),
         list_age=round(now - server_list.confirmed_at, 2),
     )
 
 
-def log_silence(server: BackendServer, waiting_since: float, now: float) -> None:
+def log_silence(
+    server: BackendServer, waiting_since: float, link_suspected: bool, now: float
+) -> None:
     """Logs that a server does not answer and is suspected from now on."""
     log_event(
         logger,
@@ -61,6 +66,7 @@
         silent_seconds=round(now - waiting_since, 3),
         answered_seconds_ago=server.responsiveness.answer_age(now),
         listed=server.unlisted_since is None,
+        link_suspected=link_suspected,
     )
 
 
