--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -163,7 +163,7 @@
         if current is None:
             return record.name in removed
         same = current.incarnation == record.incarnation
-        return same and (current.unlisted_since is not None or current.unverified)
+        return same and current.unlisted_since is not None
 
     def _is_address_taken(self, record: VmRecord) -> bool:
         """Whether another server was listed at the address later, unless it is gone as well."""
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -174,13 +174,21 @@
 def test_a_replayed_state_of_an_older_era_changes_nothing():
     leader = FlowWorld(record("s-1"))
     follower = FlowWorld(record("s-1"))
-    late = asyncio.run(StatePublisher(leader.balancer).answer(0, 0, 0.0, era=0, routes_era=0))
     leader.balancer.apply_routes(route_table(version=9, service="other"))
+    late = asyncio.run(StatePublisher(leader.balancer).answer(0, 0, 0.0, era=0, routes_era=0))
     follower.apply(snapshot(record("s-2"), revision=7, era=1))
     before = follower.balancer.server_list.confirmed_at
     assert not apply_state(decode_state(late).unwrap(), follower.balancer, follower.now + 9)
     assert names(follower.balancer) == ["s-2"]
     assert follower.balancer.server_list.confirmed_at == before
+    assert follower.balancer.routes.order == (1, 0)
+
+
+def test_a_delta_of_a_newer_era_cannot_be_used():
+    follower = FlowWorld(record("s-1"))
+    state = PublishedState((record("s-2", 8),), (), False, 8, 0.1, era=1)
+    assert not apply_state(state, follower.balancer, follower.now)
+    assert names(follower.balancer) == ["s-1"]
 
 
 def test_the_eras_are_left_out_at_zero_and_add_few_bytes_otherwise():
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -4,16 +4,20 @@
 import logging
 import time
 from base64 import b64encode
+from functools import partial
 from random import Random
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from result import Err, Ok
 
 from marjoramford.addresses import Address
 from marjoramford.errors import Step, StepError
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.http_calls import HttpClient, HttpReply
+from marjoramford.http_services import HttpRequest
 from marjoramford.logs import LogEvent
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.platform.stores import StoreReader
@@ -486,3 +490,90 @@
     world.apply(removal("s-1", 101))
     world.apply(snapshot(record("s-1"), revision=50, era=1))
     assert world.caller().open().server.name == "s-1"
+
+
+class StoreClient:
+    """Asks a stand-in without sockets; the store may change while an answer is on its way."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_lossy = False
+        self.changes = []
+
+    async def get(self, target, timeout):
+        response = await self.store.answer(HttpRequest("GET", target, b""))
+        while self.changes:
+            self.changes.pop(0)()
+        if self.is_lossy:
+            return Err(StepError(Step.READ_PLATFORM, "store", "connection lost"))
+        headers = {name.lower(): value for name, value in response.headers}
+        return Ok(HttpReply(response.status, response.body, headers))
+
+
+class RestoredStore:
+    """A small store whose copies are taken and restored by a script."""
+
+    def __init__(self):
+        self.store = PacketStore(page_items=2)
+        self.written = 0
+        self.put("i-1")
+        self.copy = self.store.take_copy()
+
+    def put(self, name):
+        self.written += 1
+        self.store.put(f"servers/{name}", SERVER | {"slots": self.written})
+
+    def change(self, action, name):
+        match action:
+            case "put":
+                self.put(name)
+            case "remove":
+                self.store.remove(f"servers/{name}")
+            case "copy":
+                self.copy = self.store.take_copy()
+            case "restore":
+                self.store.restore(self.copy)
+            case "compact":
+                self.store.compact_history()
+            case "refuse":
+                self.store.down = not self.store.down
+
+
+store_changes = st.tuples(
+    st.sampled_from(["put", "put", "remove", "copy", "restore", "compact", "refuse"]),
+    st.sampled_from(["i-1", "i-2", "i-3", "i-4", "i-5"]),
+)
+reads = st.tuples(
+    st.sampled_from(["read", "lose"]),
+    st.lists(store_changes, max_size=4),
+)
+
+
+@given(st.lists(st.one_of(store_changes, reads), max_size=30))
+def test_two_undisturbed_reads_after_any_restores_give_what_the_store_has(script):
+    async def scenario():
+        restored = RestoredStore()
+        client = StoreClient(restored.store)
+        balancer = FlowBalancer(SETTINGS, Random(1), 0.0)
+        reader = StoreReader(SETTINGS, balancer)
+        reader._client = client
+        newest = StateVersion()
+        for action, detail in script:
+            if action in ("read", "lose"):
+                client.is_lossy = action == "lose"
+                client.changes = [partial(restored.change, *change) for change in detail]
+                await reader.read(0.0)
+            else:
+                restored.change(action, detail)
+            assert balancer.server_list.version >= newest
+            newest = balancer.server_list.version
+        client.is_lossy, client.changes, restored.store.down = False, [], False
+        await reader.read(0.0)
+        assert (await reader.read(0.0)).is_ok()
+        records = balancer.server_list.changes_since(StateVersion()).records
+        stored = restored.store.take_copy().items.values()
+        assert {f"servers/{entry.name}": entry.revision for entry in records} == {
+            entry["key"]: entry["revision"] for entry in stored
+        }
+
+    asyncio.run(scenario())
