--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -45,6 +45,24 @@
     era: Annotated[int, Meta(ge=0)] = 0
 
 
+class _KnownVersions(msgspec.Struct, frozen=True):
+    """The versions that a follower has; without eras if it is of an older build."""
+
+    revision: int
+    era: int | None
+    routes_version: int
+    routes_era: int | None
+
+    def is_list_older(self, version: StateVersion) -> bool:
+        if self.era is None:
+            return self.revision < version.revision
+        return StateVersion(self.era, self.revision) < version
+
+    def are_routes_older(self, routes: RouteTable) -> bool:
+        era = routes.era if self.routes_era is None else self.routes_era
+        return (self.routes_version, era) < routes.order
+
+
 class StatePublisher:
     """Serves the state to followers, immediately or as soon as it changes (long polling)."""
 
@@ -92,12 +110,12 @@
                 break
         return encode_state(self._make_state(known), compress)
 
-    def _has_changes(self, known: "_KnownVersions") -> bool:
+    def _has_changes(self, known: _KnownVersions) -> bool:
         routes = self._balancer.routes
         newer_routes = routes is not None and known.are_routes_older(routes)
         return newer_routes or known.is_list_older(self._balancer.server_list.version)
 
-    def _make_state(self, known: "_KnownVersions") -> PublishedState:
+    def _make_state(self, known: _KnownVersions) -> PublishedState:
         now = time.monotonic()
         balancer = self._balancer
         # A follower without eras may hold a revision of any era: unless there was one era only, it
@@ -115,24 +133,6 @@
         )
 
 
-class _KnownVersions(msgspec.Struct, frozen=True):
-    """The versions that a follower has; without eras if it is of an older build."""
-
-    revision: int
-    era: int | None
-    routes_version: int
-    routes_era: int | None
-
-    def is_list_older(self, version: StateVersion) -> bool:
-        if self.era is None:
-            return self.revision < version.revision
-        return StateVersion(self.era, self.revision) < version
-
-    def are_routes_older(self, routes: RouteTable) -> bool:
-        era = routes.era if self.routes_era is None else self.routes_era
-        return (self.routes_version, era) < routes.order
-
-
 def encode_state(state: PublishedState, compress: bool) -> bytes:
     """Returns a state as JSON, compressed by zlib if that is wanted and the state is large."""
     body = msgspec.json.encode(state)
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -29,7 +29,8 @@
         """Updates routes and servers, waiting up to `wait` seconds for a change.
 
         The first read, and the first one after the platform has lost the history since the last
-        read, loads everything without waiting.
+        read, loads everything without waiting. So does a read that finds that the platform was
+        restored from a copy.
 
         Returns:
             Whether anything changed; always true if everything was loaded.
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -577,3 +577,35 @@
         }
 
     asyncio.run(scenario())
+
+
+def test_a_drill_costs_one_whole_read_for_each_reading_vm():
+    """The store is away for a moment and comes back from a copy; what was lost is written again."""
+
+    async def scenario():
+        store, copy = store_with_lost_changes()
+        zone = Zone(store)
+        vms = [(await zone.add_vm())[0] for _ in range(4)]
+        tasks = [asyncio.create_task(vm._reader.run()) for vm in vms]
+        lists = [vm.balancer.server_list for vm in vms]
+        await until(lambda: all(server_list.loaded for server_list in lists))
+        store.down = True
+        store.put("servers/i-8", SERVER)
+        await until(lambda: all(vm._group.platform_failures for vm in vms))
+        before = store.calls["/v1/kv-range"]
+        store.restore(copy)
+        store.down = False
+        await until(lambda: all(server_list.version.era == 1 for server_list in lists))
+        for number in range(3, 9):
+            store.put(f"servers/i-{number}", SERVER)
+        at = StateVersion(1, store.revision)
+        await until(lambda: all(server_list.version == at for server_list in lists))
+        for task in tasks:
+            task.cancel()
+        assert store.calls["/v1/kv-range"] - before == len(vms)
+        for vm in vms:
+            assert names(vm.balancer) == store_names(store)
+            assert all(s.unlisted_since is None for s in vm.balancer.server_list.servers.values())
+        zone.close()
+
+    asyncio.run(scenario())
