--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -111,6 +111,7 @@
             if self.loaded:
                 self._replace(changes, now)
                 return True
+            self.version = StateVersion(changes.version.era, 0)
         for record in changes.records:
             self._put(record, now)
         for name, revision in changes.removed:
@@ -135,13 +136,13 @@
         self._reachable_since = float("inf")
         missing = [s for s in self.servers.values() if s.name not in self._records and not s.gone]
         for server in missing:
-            self._unlist(server, now)
+            self._unlist(server, changes.version.revision, now)
         ignored = 0
         for record in changes.records:
             current = self.servers.get(record.name)
             if current is not None and record.incarnation < current.incarnation:
                 ignored += 1
-                self._unlist(current, now)
+                self._unlist(current, changes.version.revision, now)
             elif self._was_missing(record, removed) or self._is_address_taken(record):
                 self._await(record)
             else:
@@ -221,6 +222,7 @@
                 server=server.name,
                 service=server.service,
                 zone=server.zone,
+                era=self.version.era,
                 revision=record.revision,
                 separable=server.separable,
             )
@@ -244,9 +246,9 @@
             # Its absence before the copy does not count: the copy listed it meanwhile.
             server.unlisted_since = None
         if server.unlisted_since is None:
-            self._unlist(server, now)
+            self._unlist(server, revision, now)
 
-    def _unlist(self, server: BackendServer, now: float) -> None:
+    def _unlist(self, server: BackendServer, revision: int, now: float) -> None:
         if server.gone:
             return
         self._unlisted[server.name] = server
@@ -254,7 +256,11 @@
             return
         server.unlisted_since = now
         log_event(
-            logger, LogEvent.SERVER_UNLISTED, server=server.name, revision=self.version.revision
+            logger,
+            LogEvent.SERVER_UNLISTED,
+            server=server.name,
+            era=self.version.era,
+            revision=revision,
         )
 
     def _record_removal(self, name: str, revision: int) -> None:
@@ -311,6 +317,7 @@
             server=server.name,
             reason=reason,
             unlisted_seconds=round(now - server.unlisted_since, 2),
+            era=self.version.era,
             revision=self.version.revision,
         )
 
