--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -90,6 +90,17 @@
     assert [entry.name for entry in subject.changes_since(NOTHING_READ).records] == ["s-1"]
 
 
+def test_a_removal_during_a_whole_read_in_pages_reaches_followers():
+    """A reader that starts reads its last page after an entry on it was removed.
+
+    The first page names the revision before that, and the removal comes with the next watch.
+    """
+    reader, follower = make_list(record("s-1")), make_list(record("s-1"), record("s-2"))
+    reader.apply(removal("s-2", 101), START)
+    follower.apply(reader.changes_since(follower.version), START)
+    assert [entry.name for entry in follower.changes_since(NOTHING_READ).records] == ["s-1"]
+
+
 def test_a_reader_far_behind_gets_a_snapshot():
     subject = make_list(record("s-1"))
     assert subject.changes_since(NOTHING_READ).whole
