Bodies of responses are read whole by watchers, peers and probers

Callers would see stale routes and flows lost at a planned stop: a page of the platform, a reply to gossip or to a hand-over, or a load report that arrived in more than one part was cut at what had arrived so far, and then rejected as malformed or unsealed.

Cause: aiohttp's content.read(n) returns once any data is there; n is only an upper bound.

read_body collects chunks up to the end of the body and fails on a body above the limit, which is handled like any other broken response; before, such a body was cut without a word.

--- a/marjoramford/peers.py
+++ b/marjoramford/peers.py
@@ -9,6 +9,7 @@
 from .cores import Core
 from .events import GossipFailed, GossipReplied, HandoverReplied
 from .keys import KeyRing
+from .response_bodies import read_body
 from .seals import SEAL_HEADER, seal_header, verify_body
 
 HANDOVER_TIMEOUT_SECONDS = 2.0
@@ -66,7 +67,7 @@
             async with session.post(url, data=body, headers=headers, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                reply = await response.content.read(MAX_REPLY_BYTES)
+                reply = await read_body(response, MAX_REPLY_BYTES)
                 seal = response.headers.get(SEAL_HEADER, "")
                 return verify_body(seal, reply, self._keys).ok()
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/marjoramford/probers.py
+++ b/marjoramford/probers.py
@@ -11,6 +11,7 @@
 from .cores import Core
 from .events import LoadReported, ProbeFailed
 from .json_bodies import decode_json
+from .response_bodies import read_body
 from .settings import EntryVmSettings
 
 ESTIMATED_REQUEST_BYTES = 130
@@ -67,7 +68,7 @@
         url = f"http://{target.address}/load"
         try:
             async with session.get(url, timeout=timeout) as response:
-                body = await response.content.read(MAX_LOAD_BYTES)
+                body = await read_body(response, MAX_LOAD_BYTES)
             load = decode_json(body, Load).unwrap_or(None)
         except (aiohttp.ClientError, TimeoutError, OSError):
             load = None
--- a/marjoramford/watchers.py
+++ b/marjoramford/watchers.py
@@ -12,6 +12,7 @@
 from .events import CatalogueRead, Event, VmListRead
 from .json_bodies import decode_json
 from .logs import LogEvent, log_event
+from .response_bodies import read_body
 from .settings import TimeSettings
 
 logger = logging.getLogger(__name__)
@@ -63,7 +64,7 @@
         try:
             async with session.get(self._url, params=params, timeout=timeout) as response:
                 response.raise_for_status()
-                body = await response.content.read(2 * MAX_PAGE_BYTES)
+                body = await read_body(response, 2 * MAX_PAGE_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._report_unreachable(StepError(Step.READ_PLATFORM, self._url, str(error)))
             return False
