A waiting sticky request no longer blocks its service's queue

Callers would see requests wait, and some refused as 'deadline cannot be met', while servers were free: one sticky request whose server was full stood at the head of the service's queue.

Cause: dispatch_waiting() ended at the first request that could not start, and a new request was queued behind whatever waited, without a try.

Evidence: the new test failed before the change (no dispatch to the idle second server) and passes now; a second test holds that passed-over requests keep their order.

Requests that wait for their sticky server are passed over and put back in their places; a new request is tried at once if only such requests are ahead. Any other request that cannot start still ends the search, since no server or no share of the limit is free.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -165,18 +165,26 @@
         return actions
 
     def dispatch_waiting(self, service: str, now: float) -> list[Action]:
-        """Dispatches queued requests of a service until no server accepts another one."""
+        """Dispatches queued requests of a service until no server accepts another one.
+
+        Requests that wait for their sticky server are passed over and keep their places.
+        """
         queue = self._queues.get(service)
-        actions = self._give_up_late(queue, service, now) if queue and len(queue) else []
-        while queue and len(queue):
-            record = queue.pop()
-            if record is None:
-                break
+        if queue is None or not len(queue):
+            return []
+        actions = self._give_up_late(queue, service, now)
+        passed_over: list[RequestRecord] = []
+        while (record := queue.pop()) is not None:
+            if self._awaits_sticky_server(record, now):
+                passed_over.append(record)
+                continue
             dispatch = self._try_dispatch(record, now)
             if dispatch is None:
-                queue.push(record, at_front=True)
+                passed_over.append(record)
                 break
             actions.append(dispatch)
+        for record in reversed(passed_over):
+            queue.push(record, at_front=True)
         return actions
 
     def _accept(
@@ -215,7 +223,7 @@
 
     def _dispatch_or_queue(self, record: RequestRecord, now: float) -> list[Action]:
         queue = self._queue(record.service)
-        if not len(queue):
+        if all(self._awaits_sticky_server(waiting, now) for waiting in queue.waiting()):
             dispatch = self._try_dispatch(record, now)
             if dispatch is not None:
                 return [dispatch]
@@ -335,9 +343,8 @@
         node = self._node
         if record.deadline <= now:
             return None
-        # A sticky request waits until its server is open instead of running on another one.
-        sticky = node.servers.get(record.sticky_server) if record.sticky_server else None
-        if sticky is not None and sticky.accepts_work and sticky.ejected_until <= now:
+        sticky = self._usable_sticky_server(record, now)
+        if sticky is not None:
             return sticky if sticky.is_open(now) else None
         candidates = node.servers.sample_candidates(record.service, node.random, now)
         servers = [server for server in candidates if server.is_open(now)]
@@ -350,6 +357,22 @@
         context = ChoiceContext(key, node.own.zone, report_lifetime_seconds, now)
         return choose(node.policy, servers, context, node.random)
 
+    def _usable_sticky_server(self, record: RequestRecord, now: float) -> BackendServer | None:
+        """Returns the only server that may get a sticky request now; None if any may get it.
+
+        A sticky request waits until its server is open instead of running on another one.
+        """
+        if not record.sticky_server:
+            return None
+        server = self._node.servers.get(record.sticky_server)
+        if server is None or not server.accepts_work or server.ejected_until > now:
+            return None
+        return server
+
+    def _awaits_sticky_server(self, record: RequestRecord, now: float) -> bool:
+        server = self._usable_sticky_server(record, now)
+        return server is not None and not server.is_open(now)
+
     def _update_server(
         self, running: _RunningDispatch, outcome: DispatchOutcome, now: float
     ) -> None:
--- a/marjoramford/queues.py
+++ b/marjoramford/queues.py
@@ -7,6 +7,7 @@
 import heapq
 import math
 from collections import Counter
+from collections.abc import Iterator
 
 from .requests import RequestRecord, Waiting
 
@@ -49,6 +50,10 @@
         self._count_by_priority[record.priority] -= 1
         return record
 
+    def waiting(self) -> Iterator[RequestRecord]:
+        """Yields the waiting requests, the first one first and the others in no order."""
+        return (item[2] for item in self._heap if isinstance(item[2].state, Waiting))
+
     def drop_last(self) -> RequestRecord | None:
         """Removes and returns the last request, or None if the queue is empty."""
         self._drop_ended()
--- /dev/null
+++ b/tests/test_coordinators.py
@@ -0,0 +1,33 @@
+"""Queueing, dispatch and retries of requests at their coordinator."""
+
+from marjoramford.events import AnswerReceived, Tick
+
+from .token_cores import NOW, TokenCore, dispatches
+
+
+def test_a_sticky_request_that_waits_does_not_block_requests_for_other_servers():
+    core = TokenCore(servers=("s1", "s2"))
+    at_s1 = core.open_flow_at("s1")
+    (running,) = dispatches(core.request(at_s1, 1, "basket"))
+    assert running.server == "s1"
+    assert not dispatches(core.request(at_s1, 2, "basket"))
+    (other,) = dispatches(core.request(core.open_flow()))
+    assert other.server == "s2"
+    assert not dispatches(core.request(core.open_flow()))
+    (queued,) = dispatches(core.end(other, AnswerReceived(b"")))
+    assert queued.server == "s2"
+    (sticky,) = dispatches(core.end(running, AnswerReceived(b"")))
+    assert (sticky.server, sticky.number) == ("s1", 2)
+
+
+def test_sticky_requests_that_wait_keep_their_order():
+    core = TokenCore(servers=("s1", "s2"))
+    at_s1 = core.open_flow_at("s1")
+    (running,) = dispatches(core.request(at_s1, 1, "basket"))
+    for number in (2, 3, 4):
+        core.request(at_s1, number, "basket")
+    for at in (0.1, 0.2):
+        assert not dispatches(core.balancer.handle(Tick(), NOW + at))
+    for number in (2, 3, 4):
+        (running,) = dispatches(core.end(running, AnswerReceived(b""), NOW + 0.3))
+        assert running.number == number
