A broken idempotent request spends the retry budget once

Callers would see twice as many 'outcome unknown' after a server broke connections: the budget for 10 retries gave 5.

Cause: the outcome of the broken dispatch spent one retry to decide whether to retry at all, and _retry() spent another one to decide whether to do so at once.

Evidence: the new test counted 5 retries before the change and counts 10 now.

The budget is spent where the outcome is judged, once for each outcome, and _retry() is told whether the retry may start at once.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -421,17 +421,19 @@
                 return self._finish(record, Unknown("answer is too long"))
             case ProvedNotRun():
                 record.requeue(now)
-                return self._retry(record, now)
+                in_time = record.deadline > now
+                at_once = in_time and self._budget(record.service).try_spend()
+                return self._retry(record, now, at_once)
             case BrokenOff(reason=reason):
                 if not record.idempotent or not self._budget(record.service).try_spend():
                     return self._finish(record, Unknown(reason))
                 record.requeue_after_break(now)
-                return self._retry(record, now)
+                return self._retry(record, now, at_once=True)
 
-    def _retry(self, record: RequestRecord, now: float) -> list[Action]:
+    def _retry(self, record: RequestRecord, now: float, at_once: bool) -> list[Action]:
         if record.deadline <= now:
             return self._give_up(record, "deadline has passed", now)
-        if self._budget(record.service).try_spend():
+        if at_once:
             dispatch = self._try_dispatch(record, now)
             if dispatch is not None:
                 return [dispatch]
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -1,6 +1,6 @@
 """Queueing, dispatch and retries of requests at their coordinator."""
 
-from marjoramford.events import AnswerReceived, Tick
+from marjoramford.events import AnswerReceived, BrokenOff, Tick
 
 from .token_cores import NOW, TokenCore, dispatches
 
@@ -31,3 +31,15 @@
     for number in (2, 3, 4):
         (running,) = dispatches(core.end(running, AnswerReceived(b""), NOW + 0.3))
         assert running.number == number
+
+
+def test_a_broken_idempotent_request_spends_one_retry():
+    core = TokenCore(servers=("s1", "s2"))
+    budget = core.balancer.node.settings.load.retry_burst
+    flow = core.open_flow()
+    running = dispatches(core.request(flow, 1, "seats"))
+    retries = 0
+    while running:
+        retries += 1
+        running = dispatches(core.end(running[0], BrokenOff("reset"), NOW))
+    assert retries - 1 == int(budget)
