The first retransmission round after an answer counts at once

Callers on a flow with two requests under way would wait longer for the reset when their server dies just after it answered the first request: the round of the second request was not counted.

Cause: clear() reset the count but kept the start of the round before the answer, so what arrived within 0.15 s of that start was taken for the same round, which had been counted.

clear() now also forgets the round's start, so that the next retransmission begins a round.

--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -62,8 +62,9 @@
             self.count += 1
 
     def clear(self) -> None:
-        """Resets the count after a sign of life of the server."""
+        """Resets the count after a sign of life of the server; the next packet begins a round."""
         self.count = 0
+        self.began_at = float("-inf")
 
 
 class PacketFlow(msgspec.Struct, eq=False):
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -36,6 +36,22 @@
     assert subject.rounds.count == 3
 
 
+def test_the_first_round_after_an_answer_counts_at_once():
+    """Two requests on one flow; the first one's round must not hide that of the second."""
+    subject = flow()
+    first, second = header(100, DATA), [header(1300 + n * DATA, DATA, 51) for n in range(2)]
+    subject.record_packet(first, 1.0)
+    for packet in second:
+        subject.record_packet(packet, 1.1)
+    subject.record_packet(first, 1.26)
+    assert subject.rounds.count == 1
+    assert subject.record_packet(header(1300 + 2 * DATA, acknowledged=52), 1.28)
+    assert subject.rounds.count == 0
+    for packet in second:
+        subject.record_packet(packet, 1.3)
+    assert subject.rounds.count == 1
+
+
 def test_reordered_uploads_on_a_narrow_link_are_not_retransmission_rounds():
     """Regression from svb-gare-grown quiet-1 at 6.289 s.
 
