Flows of a refused hand-over batch get replies and count as unmoved

Callers on such flows would get no reply to any request until their deadlines; on-call engineers would read unmoved=0 at the end of a drain that left flows behind.

Cause: a refusal only stopped further batches. The flows stayed frozen, for which no reply is sent, and unmoved counted only the flows that were never put into a batch.

The successor adopts all of a batch or none, so a refusal of the only send proves that the flows are still here: they continue. After a resend an incarnation of the successor that is gone may have adopted them at the first send; their callers get CoordinatorLost at once. unmoved counts the open flows that no successor confirmed. The exploration of the request rule now has a successor that drains or is replaced, and finds the planted fault of continuing after a resend; without it, no violation.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -110,8 +110,8 @@
         """Handles a request of a flow that is coordinated here.
 
         A new request is dispatched, queued or refused. A retransmission gets the final state
-        again if there is one, and otherwise no reply. A stale number gets `OutcomeUnknown`, or no
-        reply if the flow is frozen for a hand-over.
+        again if there is one, and otherwise no reply. A stale number gets `OutcomeUnknown`; while
+        the flow is frozen for a hand-over no reply, and `CoordinatorLost` if it was abandoned.
         """
         flow = self._node.flows.get(token.flow)
         if flow is None:
@@ -122,6 +122,8 @@
         match flow.admit(request.number):
             case Retransmission(record):
                 return self._final_state_actions(record) if record.is_final else []
+            case StaleNumber() if flow.is_abandoned:
+                return [SendToCaller(caller, encode(CoordinatorLost(token.flow)))]
             case StaleNumber() if flow.is_frozen:
                 return []
             case StaleNumber():
--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -91,11 +91,13 @@
 
     Attributes:
         resend_at: epoch seconds; infinity until the latest send has succeeded or failed.
+        sends: how many times it was sent.
     """
 
     payload: bytes
     flow_numbers: tuple[int, ...]
-    resend_at: float
+    resend_at: float = float("inf")
+    sends: int = 1
 
 
 class Handover:
@@ -159,8 +161,10 @@
         """Handles the successor's reply to a batch.
 
         Without a valid reply the flows stay frozen and the batch is sent again, as the successor
-        may have adopted them. If the successor refuses the batch, its flows stay frozen here and
-        no further batch is begun; batches in flight are still resent until they get a reply.
+        may have adopted them. If the successor refuses the batch, no further batch is begun;
+        batches in flight are still resent until they get a reply. The flows of a batch that was
+        refused at its only send continue here. After a resend, an earlier incarnation of the
+        successor may have adopted them before, so callers are told that the coordinator is lost.
         """
         in_flight = self._in_flight.get(event.batch)
         if in_flight is None:
@@ -173,8 +177,14 @@
         del self._in_flight[event.batch]
         for number in in_flight.flow_numbers:
             flow = self._node.flows.get(number)
-            if flow is not None and adopted:
+            if flow is None:
+                continue
+            if adopted:
                 flow.confirm_move()
+            elif in_flight.sends == 1:
+                flow.unfreeze()
+            else:
+                flow.abandon()
         self._successor_refused = self._successor_refused or not adopted
         return self.advance(now)
 
@@ -255,7 +265,7 @@
             tuple(states),
         )
         payload = msgspec.json.encode(batch)
-        self._in_flight[self._last_batch] = _InFlightBatch(payload, flow_numbers, float("inf"))
+        self._in_flight[self._last_batch] = _InFlightBatch(payload, flow_numbers)
         log_event(logger, LogEvent.HANDOVER_SENT, batch=self._last_batch, flows=len(states))
         return SendHandover(self._last_batch, successor.name, successor.control_address, payload)
 
@@ -265,6 +275,7 @@
         for number, in_flight in self._in_flight.items():
             if successor is not None and in_flight.resend_at <= now:
                 in_flight.resend_at = float("inf")
+                in_flight.sends += 1
                 actions.append(
                     SendHandover(
                         number, successor.name, successor.control_address, in_flight.payload
@@ -282,9 +293,9 @@
         successor = node.successor
         node.own.state = "left"
         node.own.heartbeat += 1
-        if successor is not None and any(
-            flow.has_moved for flow in map(node.flows.get, node.flows) if flow is not None
-        ):
+        flows = [flow for flow in map(node.flows.get, node.flows) if flow is not None]
+        unmoved = sum(not flow.has_moved for flow in flows)
+        if successor is not None and unmoved < len(flows):
             node.own.successor = Coordinator(successor.name, successor.incarnation)
         self._exit_at = now + node.settings.times.drain_linger
         requests_cut = self._coordinator.running_count + self._coordinator.waiting_count
@@ -292,7 +303,7 @@
             logger,
             LogEvent.DRAIN_FINISHED,
             requests_cut=requests_cut,
-            unmoved=len(self._unsent_flows),
+            unmoved=unmoved,
         )
 
     def _decode_adopted(self, event: HandoverReplied) -> bool | None:
--- a/marjoramford/requests.py
+++ b/marjoramford/requests.py
@@ -165,6 +165,7 @@
 _ACTIVE = 0
 _FROZEN = 1
 _MOVED = 2
+_ABANDONED = 3
 
 
 class Flow:
@@ -195,7 +196,7 @@
 
     @property
     def is_frozen(self) -> bool:
-        """Whether the hand-over of the flow has begun or ended; new requests are not accepted."""
+        """Whether new requests are not accepted because of the hand-over of the flow."""
         return self._stage != _ACTIVE
 
     @property
@@ -203,15 +204,30 @@
         """Whether the successor has confirmed that it now coordinates the flow."""
         return self._stage == _MOVED
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether it is not known, and never will be, which entry VM coordinates the flow."""
+        return self._stage == _ABANDONED
+
     @property
     def is_idle(self) -> bool:
         """Whether all requests of the flow have a final state."""
         return all(record.is_final for record in self.records())
 
     def freeze(self) -> None:
-        """Stops accepting new requests; this cannot be undone."""
+        """Stops accepting new requests."""
         self._stage = max(self._stage, _FROZEN)
 
+    def unfreeze(self) -> None:
+        """Accepts new requests again, after proof that no successor has adopted the flow."""
+        if self._stage == _FROZEN:
+            self._stage = _ACTIVE
+
+    def abandon(self) -> None:
+        """Records that the hand-over failed and that a successor may have adopted the flow."""
+        if self._stage == _FROZEN:
+            self._stage = _ABANDONED
+
     def confirm_move(self) -> None:
         """Records that the successor has taken over the flow."""
         self._stage = _MOVED
--- a/tests/test_decision_rule.py
+++ b/tests/test_decision_rule.py
@@ -40,6 +40,7 @@
 
     non_coordinator_decides: bool = False
     skip_freeze: bool = False
+    unfreeze_after_resend: bool = False
 
 
 @dataclass
@@ -52,6 +53,9 @@
     in_flight: FlowState | None = None
     resends_left: int = 1
     adopted: bool = False
+    sends: int = 0
+    successor_refuses: bool = False
+    refusal_in_flight: bool = False
     ack_in_flight: bool = False
     runs: int = 0
     replies: frozenset[str] = frozenset()
@@ -65,6 +69,9 @@
             sent,
             self.resends_left,
             self.adopted,
+            self.sends,
+            self.successor_refuses,
+            self.refusal_in_flight,
             self.ack_in_flight,
         )
         return (flows, alive, handover_state, self.runs, self.replies)
@@ -75,7 +82,7 @@
         return None
     record = flow.get_record(NUMBER)
     state = None if record is None else (type(record.state).__name__, record.may_have_run)
-    return (flow.is_frozen, flow.has_moved, flow.seen, state)
+    return (flow.is_frozen, flow.has_moved, flow.is_abandoned, flow.seen, state)
 
 
 def next_states(state: State, faults: ModelFaults) -> Iterator[State]:
@@ -148,11 +155,21 @@
         new.in_flight = snapshot_flow(7, new.flows["A"])
         yield new
     if state.in_flight is not None and state.alive["B"] and state.resends_left >= 0:
-        new = _copy_with(state, ack_in_flight=True, resends_left=state.resends_left - 1)
-        if not state.adopted:
-            new.adopted = True
-            new.flows["B"] = restore_flow(state.in_flight)
-        yield new
+        sent = _copy_with(state, resends_left=state.resends_left - 1, sends=state.sends + 1)
+        if state.successor_refuses and not state.adopted:
+            yield _copy_with(sent, refusal_in_flight=True)
+        else:
+            new = _copy_with(sent, ack_in_flight=True)
+            if not state.adopted:
+                new.adopted = True
+                new.flows["B"] = restore_flow(state.in_flight)
+            yield new
+    if not state.successor_refuses:
+        yield from _refusing_successors(state)
+    if state.refusal_in_flight:
+        yield _copy_with(state, refusal_in_flight=False)
+        if state.alive["A"]:
+            yield _handle_refusal(state, faults)
     if state.ack_in_flight:
         yield _copy_with(state, ack_in_flight=False)
         if state.alive["A"]:
@@ -161,6 +178,25 @@
             yield acknowledged
 
 
+def _refusing_successors(state: State) -> Iterator[State]:
+    """B starts to drain, or is replaced by a new incarnation without its flows and batches."""
+    if state.alive["B"]:
+        yield _copy_with(state, successor_refuses=True)
+    restarted = _copy_with(state, successor_refuses=True, adopted=False)
+    restarted.flows["B"] = None
+    restarted.alive["B"] = True
+    yield restarted
+
+
+def _handle_refusal(state: State, faults: ModelFaults) -> State:
+    new = _copy_with(state, refusal_in_flight=False)
+    if new.sends == 1 or faults.unfreeze_after_resend:
+        new.flows["A"].unfreeze()
+    else:
+        new.flows["A"].abandon()
+    return new
+
+
 def _make_record() -> RequestRecord:
     caller = Address("c", 1)
     return RequestRecord(7, NUMBER, "s", "hold", False, DEADLINE, b"", caller, Waiting(NOW))
@@ -237,7 +273,12 @@
 
 
 @pytest.mark.parametrize(
-    "faults", [ModelFaults(non_coordinator_decides=True), ModelFaults(skip_freeze=True)]
+    "faults",
+    [
+        ModelFaults(non_coordinator_decides=True),
+        ModelFaults(skip_freeze=True),
+        ModelFaults(unfreeze_after_resend=True),
+    ],
 )
 def test_the_model_detects_planted_faults(faults):
     assert explore(faults)[1]
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,74 @@
+"""Hand-over of flows at a planned stop: a successor that refuses, and a stop that is forced."""
+
+import msgspec
+import pytest
+
+from marjoramford.actions import SendHandover
+from marjoramford.events import DrainRequested, HandoverReplied, Tick
+from marjoramford.handovers import HandoverReply
+from marjoramford.logs import LogEvent
+from marjoramford.messages import CoordinatorLost
+
+from .token_cores import NOW, TokenCore, dispatches, messages
+
+
+def drain(core, now=NOW, seconds=30.0):
+    """Requests a planned stop; returns the batches sent."""
+    return batches(core.balancer.handle(DrainRequested(now + seconds), now))
+
+
+def batches(actions):
+    return [action for action in actions if isinstance(action, SendHandover)]
+
+
+def refuse(core, batch, now=NOW):
+    payload = msgspec.json.encode(HandoverReply(batch.batch, False))
+    return core.balancer.handle(HandoverReplied(batch.batch, payload), now)
+
+
+@pytest.fixture
+def drains_finished(monkeypatch):
+    """The fields of each finished drain that is logged."""
+    logged = []
+
+    def log(_logger, event, **fields):
+        if event is LogEvent.DRAIN_FINISHED:
+            logged.append(fields)
+
+    monkeypatch.setattr("marjoramford.handovers.log_event", log)
+    return logged
+
+
+def test_flows_of_a_batch_refused_at_its_only_send_continue(drains_finished):
+    """They stayed frozen, and requests on them got no reply."""
+    core = TokenCore(peers=("entry-2",), slots=4)
+    busy, idle = core.open_flow(), core.open_flow()
+    core.request(busy)
+    (batch,) = drain(core)
+    refuse(core, batch)
+    assert not drains_finished
+    assert dispatches(core.request(idle))
+
+
+def test_flows_of_a_refused_batch_count_as_unmoved(drains_finished):
+    core = TokenCore(peers=("entry-2",))
+    for _ in range(3):
+        core.open_flow()
+    (batch,) = drain(core)
+    refuse(core, batch)
+    assert [fields["unmoved"] for fields in drains_finished] == [3]
+
+
+def test_callers_learn_that_a_batch_refused_after_a_resend_has_lost_its_coordinator():
+    """An earlier incarnation of the successor may have adopted the flows at the first send."""
+    core = TokenCore(peers=("entry-2",), slots=4)
+    busy, idle = core.open_flow(), core.open_flow()
+    core.request(busy)
+    (batch,) = drain(core)
+    core.balancer.handle(HandoverReplied(batch.batch, None), NOW)
+    (resent,) = batches(core.balancer.handle(Tick(), NOW + 1.0))
+    assert not messages(core.request(idle, now=NOW + 1.0))
+    refuse(core, resent, NOW + 1.1)
+    actions = core.request(idle, now=NOW + 1.2)
+    assert messages(actions) == [CoordinatorLost(idle[1].flow)]
+    assert not dispatches(actions)
