An entry VM that has left dispatches no more requests

Callers would see 'outcome unknown' for requests that were dispatched after a forced leave and cut when the process exited at the end of the linger.

Cause: at the deadline of a drain the state became left, but the queues and new requests were served as before.

Evidence: the new test failed before the change (the queued request got no reply at the leave and was dispatched later) and passes now.

Leaving closes the coordinator: what is queued is refused at once with 'entry VM has left', which is true since it has not run, and so are new requests on flows that have not moved. Requests that run go on, and their answers are delivered.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -57,6 +57,7 @@
 SHED_BACKOFF_FACTOR = 0.25
 UNREACHABLE_BACKOFF_SECONDS = 0.5
 MIN_RETRY_DELAY_SECONDS = 0.5
+LEFT_REASON = "entry VM has left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,7 @@
         self._running_by_service: Counter[str] = Counter()
         self._timers: list[tuple[float, int, int]] = []
         self._last_dispatch = 0
+        self._closed = False
 
     @property
     def running_count(self) -> int:
@@ -149,6 +151,18 @@
         actions = self._update_request(record, event.outcome, now)
         return actions + self.dispatch_waiting(record.service, now)
 
+    def close(self, now: float) -> list[Action]:
+        """Dispatches nothing from now on, since the process exits soon; gives up queued requests.
+
+        Running requests go on, and their answers are delivered.
+        """
+        self._closed = True
+        actions: list[Action] = []
+        for queue in self._queues.values():
+            while (record := queue.pop()) is not None:
+                actions += self._give_up(record, LEFT_REASON, now)
+        return actions
+
     def schedule_record_expiry(self, flow_number: int, now: float) -> None:
         """Schedules the removal of the records that came with an adopted flow."""
         flow = self._node.flows.get(flow_number)
@@ -215,6 +229,8 @@
             return self._give_up(record, "deadline has passed", now)
         if len(request.body) > MAX_REQUEST_BODY_BYTES:
             return self._give_up(record, "body is too long", now)
+        if self._closed:
+            return self._give_up(record, LEFT_REASON, now)
         self._budget(record.service).deposit()
         return self._dispatch_or_queue(record, now)
 
@@ -435,6 +451,8 @@
     def _retry(self, record: RequestRecord, now: float, at_once: bool) -> list[Action]:
         if record.deadline <= now:
             return self._give_up(record, "deadline has passed", now)
+        if self._closed:
+            return self._give_up(record, LEFT_REASON, now)
         if at_once:
             dispatch = self._try_dispatch(record, now)
             if dispatch is not None:
--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -4,8 +4,8 @@
 
 1. Drain: the entry VM becomes `leaving`, opens no more flows and chooses a successor. Flows without
    unfinished requests are frozen and sent to the successor, if there is one, in batches.
-2. Left: when nothing remains to be done, or at the deadline, it becomes `left`. The next gossip
-   announces this, with the successor if that has adopted any flows.
+2. Left: when nothing remains to be done, or at the deadline, it becomes `left` and dispatches no
+   more requests. The next gossip announces this, with the successor if that has adopted any flows.
 3. Exit: after the configured linger time, `DrainFinished` lets the process exit. Until then the
    entry VM still handles datagrams.
 """
@@ -154,7 +154,7 @@
                 break
             actions.append(self._send(flow_numbers, now))
         if self._is_complete() or now >= node.draining_until:
-            self._leave(now)
+            actions += self._leave(now)
         return actions
 
     def handle_reply(self, event: HandoverReplied, now: float) -> list[Action]:
@@ -288,8 +288,9 @@
             return False
         return not self._unsent_flows or self._node.successor is None or self._successor_refused
 
-    def _leave(self, now: float) -> None:
+    def _leave(self, now: float) -> list[Action]:
         node = self._node
+        actions = self._coordinator.close(now)
         successor = node.successor
         node.own.state = "left"
         node.own.heartbeat += 1
@@ -305,6 +306,7 @@
             requests_cut=requests_cut,
             unmoved=unmoved,
         )
+        return actions
 
     def _decode_adopted(self, event: HandoverReplied) -> bool | None:
         if event.payload is None:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,10 +4,10 @@
 import pytest
 
 from marjoramford.actions import SendHandover
-from marjoramford.events import DrainRequested, HandoverReplied, Tick
+from marjoramford.events import AnswerReceived, DrainRequested, HandoverReplied, Tick
 from marjoramford.handovers import HandoverReply
 from marjoramford.logs import LogEvent
-from marjoramford.messages import CoordinatorLost
+from marjoramford.messages import Answer, CoordinatorLost, NotRun
 
 from .token_cores import NOW, TokenCore, dispatches, messages
 
@@ -72,3 +72,20 @@
     actions = core.request(idle, now=NOW + 1.2)
     assert messages(actions) == [CoordinatorLost(idle[1].flow)]
     assert not dispatches(actions)
+
+
+def test_a_forced_leave_dispatches_nothing_during_the_linger():
+    """The process exits after the linger, which would cut what it has dispatched."""
+    core = TokenCore(servers=("s1",), slots=1)
+    first, second, idle = core.open_flow(), core.open_flow(), core.open_flow()
+    (running,) = dispatches(core.request(first, deadline=NOW + 20.0))
+    assert not dispatches(core.request(second, deadline=NOW + 20.0))
+    drain(core, seconds=2.0)
+    left = core.balancer.handle(Tick(), NOW + 2.0)
+    assert [type(message) for message in messages(left)] == [NotRun]
+    answered = core.end(running, AnswerReceived(b"done"), NOW + 2.1)
+    assert not dispatches(answered)
+    assert [type(message) for message in messages(answered)] == [Answer]
+    late = core.request(idle, now=NOW + 2.2, deadline=NOW + 20.0)
+    assert not dispatches(late)
+    assert [type(message) for message in messages(late)] == [NotRun]
