A deadline that passes before the start is not held against the server

Callers would see a healthy server get less work after requests with short deadlines: each one that expired before the send halved the server's concurrency limit, closed it for a while, lowered the trust in its load reports and cleared its count of failures.

Cause: every proof that a request did not run, apart from a few named ones, was taken for a refusal by a full server.

ProvedNotRun says whether the deadline had passed; such an outcome changes nothing about the server.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -179,12 +179,11 @@
         self.limit = min(float(max(self.slots, MIN_LIMIT)), self.limit + LIMIT_INCREASE)
 
     def record_shed(self, closed_until: float, report_is_current: bool) -> None:
-        """Records a request that was proved not run, and lowers the concurrency limit.
+        """Records a request that the server refused, and lowers the concurrency limit.
 
-        Usually the server refused the request because it had no free slot. Every other proof
-        counts the same, for example a deadline that passed here before the request was sent. Only
-        a refusal because the server drains or is not the one addressed, and a server that could
-        not be reached, are recorded in other ways.
+        Usually the server had no free slot. Not recorded here are a refusal because the server
+        drains or is not the one addressed, a server that could not be reached, and a deadline that
+        passed before the request started.
 
         Args:
             closed_until: no dispatch to the server before this time, in epoch seconds.
--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -411,6 +411,8 @@
                 server.record_failure()
                 server.closed_until = now + UNREACHABLE_BACKOFF_SECONDS
                 servers.eject_if_failing(server, now)
+            case ProvedNotRun(expired=True):
+                pass
             case ProvedNotRun():
                 age_seconds = now - server.reported_at
                 report_is_current = (
--- a/marjoramford/dispatchers.py
+++ b/marjoramford/dispatchers.py
@@ -72,7 +72,7 @@
     async def _post(self, session: aiohttp.ClientSession, action: Dispatch) -> DispatchOutcome:
         remaining = action.deadline - self._core.clock()
         if remaining <= 0:
-            return ProvedNotRun("deadline passed before the send")
+            return ProvedNotRun("deadline passed before the send", expired=True)
         timeout = aiohttp.ClientTimeout(total=remaining, connect=CONNECT_TIMEOUT_SECONDS)
         url = f"http://{action.address}/requests"
         try:
@@ -86,7 +86,7 @@
             ) as response:
                 return await _read_outcome(response)
         except _DeadlinePassedError:
-            return ProvedNotRun("deadline passed before the send")
+            return ProvedNotRun("deadline passed before the send", expired=True)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return ProvedNotRun(f"connection was not made: {error}", unreachable=True)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -116,4 +116,9 @@
     reason = response.headers.get(NOT_RUN_HEADER)
     if reason is None:
         return BrokenOff(f"status {response.status}")
-    return ProvedNotRun(reason, draining=reason == "draining", mismatch=reason == "mismatch")
+    return ProvedNotRun(
+        reason,
+        draining=reason == "draining",
+        mismatch=reason == "mismatch",
+        expired=reason == "deadline",
+    )
--- a/marjoramford/events.py
+++ b/marjoramford/events.py
@@ -39,12 +39,15 @@
         draining: the server refused the request because it is draining.
         unreachable: no connection to the server could be made.
         mismatch: the request was addressed to another server, service or incarnation.
+        expired: the deadline passed before the request started, which says nothing about the
+            server.
     """
 
     reason: str
     draining: bool = False
     unreachable: bool = False
     mismatch: bool = False
+    expired: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramford/standins/worlds.py
+++ b/marjoramford/standins/worlds.py
@@ -496,7 +496,7 @@
             return
         action, server = running.action, running.server
         if self.now >= action.deadline:
-            self._end_dispatch(key, ProvedNotRun("deadline"))
+            self._end_dispatch(key, ProvedNotRun("deadline", expired=True))
             return
         leaving_since = self.leaving_since.get(server.record.name)
         started = server.model.submit(
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -1,6 +1,6 @@
 """Queueing, dispatch and retries of requests at their coordinator."""
 
-from marjoramford.events import AnswerReceived, BrokenOff, Tick
+from marjoramford.events import AnswerReceived, BrokenOff, ProvedNotRun, Tick
 
 from .token_cores import NOW, TokenCore, dispatches
 
@@ -43,3 +43,24 @@
         retries += 1
         running = dispatches(core.end(running[0], BrokenOff("reset"), NOW))
     assert retries - 1 == int(budget)
+
+
+def test_a_deadline_that_passes_before_the_send_is_not_held_against_the_server():
+    core = TokenCore(slots=4)
+    server = core.balancer.node.servers.get("s1")
+    (running,) = dispatches(core.request(core.open_flow(), deadline=NOW + 1.0))
+    outcome = ProvedNotRun("deadline passed before the send", expired=True)
+    core.end(running, outcome, NOW + 0.9)
+    assert (server.sheds, server.limit, server.closed_until) == (0, 4.0, 0.0)
+    assert server.trust == 1.0
+
+
+def test_a_deadline_before_the_send_does_not_clear_the_failures_of_the_server():
+    core = TokenCore(slots=4)
+    server = core.balancer.node.servers.get("s1")
+    flow = core.open_flow()
+    (broken,) = dispatches(core.request(flow, 1))
+    core.end(broken, BrokenOff("reset"))
+    (running,) = dispatches(core.request(flow, 2))
+    core.end(running, ProvedNotRun("deadline passed before the send", expired=True))
+    assert server.failures == 1
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -105,7 +105,7 @@
 def test_nothing_is_sent_after_a_pause_past_the_deadline(times):
     """The deadline may pass before the dispatch starts or while the connection is being made."""
     outcome, seen = dispatch(answer, times)
-    assert isinstance(outcome, ProvedNotRun)
+    assert outcome == ProvedNotRun("deadline passed before the send", expired=True)
     assert seen == 0
 
 
@@ -113,6 +113,7 @@
     assert dispatch(refuse("shed"))[0] == ProvedNotRun("shed")
     assert dispatch(refuse("draining"))[0] == ProvedNotRun("draining", draining=True)
     assert dispatch(refuse("mismatch"))[0] == ProvedNotRun("mismatch", mismatch=True)
+    assert dispatch(refuse("deadline"))[0] == ProvedNotRun("deadline", expired=True)
 
 
 def test_a_failed_connection_proves_that_the_request_did_not_run():
