An entry VM that crashes while leaving is suspected and lost

Callers whose flows it coordinated would get no reply: their datagrams were relayed to the crashed entry VM for ever, as it stayed 'leaving' and so counted as reachable.

Cause: only an entry VM in state alive could become suspect, and at the same heartbeat 'leaving' was newer than 'suspect' and 'lost', so that gossip would also have undone a suspicion. A record of the VM list undid one too.

'leaving' now stands before 'suspect' in the order of updates. Each entry VM remembers which incarnations are leaving: the first such update still counts as newer than a suspicion (entry VMs for opaque flows announce it without a new heartbeat), and a suspect that answers is leaving again and gets no new flows.

--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -39,8 +39,10 @@
     refute a suspicion and, unless it serves opaque flows, at the start and at the end of a planned
     stop.
     Of two updates with the same heartbeat, the one whose state comes later in the order alive,
-    suspect, lost, leaving, left is newer. No update about the same incarnation is newer than
-    `left`, whatever its heartbeat.
+    leaving, suspect, lost, left is newer. The first update that says `leaving` is newer than
+    `suspect` and `lost` as well, since an entry VM for opaque flows may have announced it after
+    that suspicion. No update about the same incarnation is newer than `left`, whatever its
+    heartbeat.
     """
 
     name: str
@@ -113,7 +115,7 @@
 
 CoordinatorLocation = Local | Remote | Lost
 
-_STATE_RANK = {"alive": 0, "suspect": 1, "lost": 2, "leaving": 3, "left": 4}
+_STATE_RANK = {"alive": 0, "leaving": 1, "suspect": 2, "lost": 3, "left": 4}
 _MAX_SUCCESSOR_HOPS = 8
 UPDATE_TRANSMISSIONS = 4
 
@@ -125,6 +127,8 @@
         self.own = own
         self._suspicion_seconds = suspicion_seconds
         self._others: dict[str, EntryVm] = {}
+        # Incarnation of each entry VM that is known to have begun its planned stop.
+        self._leaving: dict[str, int] = {}
         self._in_minority: bool | None = None
         self._pending_updates: dict[str, EntryVm] = {}
 
@@ -191,7 +195,9 @@
         if record.state == "gone":
             self._set_state(known, "left")
         elif record.state == "leaving" and known.is_reachable:
-            self._set_state(known, "leaving")
+            self._leaving[known.name] = known.incarnation
+            if known.state == "alive":
+                self._set_state(known, "leaving")
 
     def merge_update(self, update: MemberUpdate) -> None:
         """Merges an update from gossip; a stale one has no effect.
@@ -202,7 +208,7 @@
             self._refute(update)
             return
         known = self._others.get(update.name)
-        if known is not None and not _is_newer(update, known):
+        if known is not None and not self._is_newer(update, known):
             return
         if known is None or update.incarnation > known.incarnation:
             known = EntryVm(
@@ -216,11 +222,13 @@
             self._record_change(known)
         known.heartbeat = update.heartbeat
         known.successor = update.successor or known.successor
-        if update.state != "suspect" or known.state == "alive":
+        if update.state == "alive":
+            self._set_state(known, self._answering_state(known))
+        elif update.state != "suspect" or known.state in ("alive", "leaving"):
             self._set_state(known, update.state)
 
     def confirm_alive(self, name: str, incarnation: int) -> None:
-        """Marks a suspect or lost incarnation alive again.
+        """Marks a suspect or lost incarnation alive again, or leaving if it had begun to leave.
 
         Called after the incarnation answered or sent a message of its own.
         """
@@ -229,12 +237,14 @@
             return
         if known.state in ("suspect", "lost"):
             log_event(logger, LogEvent.ENTRY_VM_BACK, entry_vm=name)
-            self._set_state(known, "alive")
+            self._set_state(known, self._answering_state(known))
 
     def suspect(self, name: str, incarnation: int, now: float) -> None:
-        """Marks an incarnation suspect because it did not answer, if it was alive."""
+        """Marks an incarnation suspect because it did not answer, if it was alive or leaving."""
         known = self._others.get(name)
-        if known is None or known.incarnation != incarnation or known.state != "alive":
+        if known is None or known.incarnation != incarnation:
+            return
+        if known.state not in ("alive", "leaving"):
             return
         known.suspected_until = now + self._suspicion_seconds
         self._set_state(known, "suspect")
@@ -300,12 +310,31 @@
         if is_suspected and update.heartbeat >= own.heartbeat:
             own.heartbeat = update.heartbeat + 1
 
+    def _is_newer(self, update: MemberUpdate, known: EntryVm) -> bool:
+        if update.incarnation != known.incarnation:
+            return update.incarnation > known.incarnation
+        if known.state == "left":
+            return False
+        if update.heartbeat != known.heartbeat:
+            return update.heartbeat > known.heartbeat
+        if update.state == "leaving" and not self._is_leaving(known):
+            return True
+        return _STATE_RANK[update.state] > _STATE_RANK[known.state]
+
+    def _is_leaving(self, vm: EntryVm) -> bool:
+        return self._leaving.get(vm.name) == vm.incarnation
+
+    def _answering_state(self, vm: EntryVm) -> MemberState:
+        return "leaving" if self._is_leaving(vm) else "alive"
+
     def _record_change(self, vm: EntryVm) -> None:
         self._in_minority = None
         vm.transmissions = 0
         self._pending_updates[vm.name] = vm
 
     def _set_state(self, vm: EntryVm, state: MemberState) -> None:
+        if state == "leaving":
+            self._leaving[vm.name] = vm.incarnation
         if vm.state != state:
             vm.state = state
             self._record_change(vm)
@@ -313,16 +342,6 @@
                 vm.suspected_until = 0.0
 
 
-def _is_newer(update: MemberUpdate, known: EntryVm) -> bool:
-    if update.incarnation != known.incarnation:
-        return update.incarnation > known.incarnation
-    if known.state == "left":
-        return False
-    if update.heartbeat != known.heartbeat:
-        return update.heartbeat > known.heartbeat
-    return _STATE_RANK[update.state] > _STATE_RANK[known.state]
-
-
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
     """Sorts names by rendezvous hash with a key.
 
