A limit request stays until a gossip message has carried it

Callers would be refused longer than needed on an entry VM that runs short of its share of a limit: the request for more was forgotten when the byte budget did not cover the urgent round, when no peer could be chosen, or when more than 32 requests were waiting.

Cause: an urgent round cleared all limit requests, whatever was sent.

The round removes the requests that its messages carry, and only if one was sent.

--- a/marjoramford/gossips.py
+++ b/marjoramford/gossips.py
@@ -174,8 +174,11 @@
         selected = self._node.random.sample(behind, min(URGENT_FANOUT, len(behind)))
         if len(behind) > len(selected):
             self.request_urgent_round(now)
+        carried = list(self._node.limit_requests)[:MAX_LEASES]
         actions = [sent for sent in (self._send(peer, now) for peer in selected) if sent]
-        self._node.limit_requests.clear()
+        if actions:
+            for key in carried:
+                del self._node.limit_requests[key]
         return actions
 
     def _is_behind(self, vm: EntryVm) -> bool:
--- a/marjoramford/nodes.py
+++ b/marjoramford/nodes.py
@@ -29,8 +29,8 @@
         draining_until: deadline of the planned stop, in epoch seconds; None if none is requested.
         successor: the entry VM to which flows are handed over at a planned stop.
         adopted_from: leaving coordinators whose flows this entry VM has adopted.
-        limit_requests: requests for larger shares of limits, sent with gossip until the next urgent
-            round has sent them too.
+        limit_requests: requests for larger shares of limits, sent with gossip until an urgent round
+            has sent them too.
     """
 
     settings: CoreSettings
