A probe's HTTP status counts, and a successful probe clears failed ones

Callers would see a healthy server ejected for 5 s after three failed probes that were minutes apart, when it had no requests in between; and a load endpoint that answers with an error was taken for a load report.

Cause: only answers and refusals of requests cleared the count of failures, and the probe read the body whatever the status.

Failed probes are counted apart, and a load report takes only these off the count of failures.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -92,7 +92,9 @@
             servers, those considered are a random sample.
         warm_at: when its cold start is over, on the clock of the core that uses the server: epoch
             seconds for requests, monotonic seconds for opaque flows.
-        failures: failures since its last answer, last shed request or last ejection.
+        failures: failures since its last answer, last shed request or last ejection; failed probes
+            only since its last successful probe.
+        failed_probes: how many of `failures` are failed probes.
         trust: how well its load reports agree with its observed behaviour, from 0 to 1.
         reported_busy: requests in progress according to its latest load report.
         own_when_reported: this entry VM's requests in flight when that report was measured.
@@ -118,6 +120,7 @@
     closed_until: float = 0.0
     ejected_until: float = 0.0
     failures: int = 0
+    failed_probes: int = 0
     sheds: int = 0
     trust: float = 1.0
     reported_busy: int = 0
@@ -159,7 +162,13 @@
         return 0
 
     def apply_report(self, report: "LoadReported") -> None:
-        """Applies a load report; of a report older than the latest one, only `slots`."""
+        """Applies a load report; of a report older than the latest one, only `slots`.
+
+        It clears failed probes, but not other failures: a server that answers probes may still
+        break every request.
+        """
+        self.failures -= self.failed_probes
+        self.failed_probes = 0
         if report.slots > 0:
             self.slots = report.slots
         if report.measured_at < self.reported_at:
@@ -174,7 +183,7 @@
 
     def record_answer(self) -> None:
         """Records a request that it answered, and raises its concurrency limit."""
-        self.failures = 0
+        self.clear_failures()
         self.sheds = 0
         self.limit = min(float(max(self.slots, MIN_LIMIT)), self.limit + LIMIT_INCREASE)
 
@@ -191,7 +200,7 @@
                 the refusal. If so, `trust` rises when the report shows at most one free slot, and
                 falls otherwise.
         """
-        self.failures = 0
+        self.clear_failures()
         self.sheds = min(self.sheds + 1, MAX_SHED_DOUBLINGS)
         self.closed_until = closed_until
         self.limit = max(MIN_LIMIT, self.limit * LIMIT_DECREASE_FACTOR)
@@ -206,6 +215,16 @@
         """
         self.failures += 1
 
+    def record_failed_probe(self) -> None:
+        """Records a failure that the next successful probe clears."""
+        self.record_failure()
+        self.failed_probes += 1
+
+    def clear_failures(self) -> None:
+        """Starts the count of failures anew."""
+        self.failures = 0
+        self.failed_probes = 0
+
     def start_leaving(self, signal: str) -> None:
         """Starts connection draining: it gets no new work. The first signal of any kind suffices.
 
@@ -321,7 +340,7 @@
         ejected = sum(peer.ejected_until > now for peer in pool)
         if ejected + 1 > len(pool) * MAX_EJECTED_SHARE:
             return
-        server.failures = 0
+        server.clear_failures()
         server.ejected_until = now + EJECTION_SECONDS
         log_event(logger, LogEvent.SERVER_EJECTED, server=server.name)
 
--- a/marjoramford/balancers.py
+++ b/marjoramford/balancers.py
@@ -222,7 +222,7 @@
             case LoadReported():
                 server.apply_report(event)
             case ProbeFailed():
-                server.record_failure()
+                server.record_failed_probe()
                 self._node.servers.eject_if_failing(server, now)
         return []
 
--- a/marjoramford/probers.py
+++ b/marjoramford/probers.py
@@ -68,6 +68,7 @@
         url = f"http://{target.address}/load"
         try:
             async with session.get(url, timeout=timeout) as response:
+                response.raise_for_status()
                 body = await read_body(response, MAX_LOAD_BYTES)
             load = decode_json(body, Load).unwrap_or(None)
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/tests/test_response_bodies.py
+++ b/tests/test_response_bodies.py
@@ -118,6 +118,11 @@
     assert isinstance(run_with(probe, LOAD_BODY), LoadReported)
 
 
+@pytest.mark.parametrize("status", ["500 Internal Server Error", "503 Service Unavailable"])
+def test_a_load_report_with_an_error_status_is_a_failed_probe(status):
+    assert isinstance(run_with(probe, LOAD_BODY, status=status), ProbeFailed)
+
+
 def test_a_gossip_reply_that_arrives_in_parts_is_read_whole():
     assert run_with(gossip, LARGE_BODY) == GossipReplied("entry-2", LARGE_BODY)
 
