The reply suppressor forgets when a partition is over

Callers in a second partition would be told at once that their coordinator is lost, although another entry VM could have served their retransmission: messages withheld in an earlier partition were still known, and their second had long passed.

Cause: entries left only when 10,000 had gathered.

--- a/marjoramford/balancers.py
+++ b/marjoramford/balancers.py
@@ -232,6 +232,7 @@
             self._node.flows.expire(now)
             self._node.limits.expire(now)
             self._node.entry_vms.expire_suspicions(now)
+            self._node.reply_suppressor.forget_after_heal()
         actions = self._coordinator.tick(now)
         actions += self._handover.advance(now)
         return actions + self._gossip.tick(now)
--- a/marjoramford/reply_suppressors.py
+++ b/marjoramford/reply_suppressors.py
@@ -18,6 +18,11 @@
         self._entry_vms = entry_vms
         self._first_request_at: dict[int, float] = {}
 
+    def forget_after_heal(self) -> None:
+        """Forgets all messages if the partition is over, so that the next one starts anew."""
+        if not self._entry_vms.is_in_minority():
+            self._first_request_at.clear()
+
     def suppresses_reply(self, key: int, now: float) -> bool:
         """Returns whether to withhold the reply to a message from a caller.
 
@@ -26,6 +31,7 @@
                 number if the coordinator of the flow is lost.
             now: epoch seconds.
         """
+        self.forget_after_heal()
         if not self._entry_vms.is_in_minority():
             return False
         if len(self._first_request_at) >= MAX_SUPPRESSED_KEYS:
