Routes with an impossible port are left out

An operator would see a mistyped port installed and counted as a route, though no packet can have it.

Cause: whatever int() could read was taken for a port.

Evidence: the new test failed before the change for 0, -1, 65536 and a number of 30 digits and passes now; ports 1 and 65535 stay. Such a route is left out like one without a port, and the others of the table stay in force.

--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -23,6 +23,7 @@
 ROUTES_KEY = "op/config"
 # Far above any real weight; keeps sums of weights finite.
 MAX_WEIGHT = 1e9
+MAX_PORT = 65535
 
 T = TypeVar("T")
 
@@ -112,8 +113,8 @@
 def decode_routes(item: StoreItem) -> Result[RouteTable, str]:
     """Decodes the operator's routes.
 
-    Routes whose host or port cannot be parsed, or without a service of positive weight, are left
-    out. The range of the port is not checked.
+    Routes whose host cannot be parsed, whose port is none, or without a service of positive weight
+    are left out.
     """
     return _decode_value(item, _Config).map(_make_table)
 
@@ -140,6 +141,8 @@
         port = int(route.prefix.strip("/"))
     except (OSError, ValueError):
         return None
+    if not 0 < port <= MAX_PORT:
+        return None
     if not any(service.weight > 0 for service in services):
         return None
     target_seconds = route.target_latency_ms / 1000
--- a/tests/test_platform_borders.py
+++ b/tests/test_platform_borders.py
@@ -90,6 +90,20 @@
     assert decode_routes(item(config, key="op/config")).is_err()
 
 
+@pytest.mark.parametrize("port", ["0", "-1", "65536", "9" * 30, "", "8080/9", "1e3"])
+def test_a_route_with_an_impossible_port_is_left_out(port):
+    first, second = CONFIG["routes"][:2]
+    config = CONFIG | {"routes": [first | {"prefix": f"/{port}/"}, second]}
+    table = decode_routes(item(config, key="op/config")).unwrap()
+    assert [route.port for route in table.routes()] == [8443]
+
+
+@pytest.mark.parametrize("port", [1, 65535])
+def test_a_route_with_an_extreme_port_is_kept(port):
+    config = CONFIG | {"routes": [CONFIG["routes"][0] | {"prefix": f"/{port}/"}]}
+    assert len(decode_routes(item(config, key="op/config")).unwrap()) == 1
+
+
 @pytest.mark.parametrize("body", [NESTED_FIELD, b'{"items":[' + NESTED, b"\xff"])
 def test_an_invalid_response_of_the_store_is_an_error(body):
     async def scenario():
