Overlapping faults of the simulated world last their whole time

Experiments of the request path explored less than they said: when two partitions, outages of the platform, stale reads or losses of hand-over replies overlapped, the end of the first ended the second.

Cause: the end of a fault cleared a flag or all partitions. A second stale copy also replaced the first, older one, and hand-over replies were lost although no entry VM could stop.

Cuts between two places are counted, and each partition ends its own. The other faults store until when they last, and a later end wins.

--- a/marjoramford/standins/faults.py
+++ b/marjoramford/standins/faults.py
@@ -195,9 +195,9 @@
         case ReuseAddress():
             return _apply_to_server(world, lambda node: _reuse_address(world, node))
         case LoseHandoverAcks(seconds=seconds):
-            world.drop_handover_acks = True
-            world.after(seconds, lambda: setattr(world, "drop_handover_acks", False))
-            return _apply_to_entry_vm(world, lambda node: _stop_entry_vm(world, node))
+            return _apply_to_entry_vm(
+                world, lambda node: _stop_without_handover_acks(world, node, seconds)
+            )
         case KillDuringHandover():
             return _apply_to_entry_vm(world, lambda node: _kill_during_handover(world, node))
         case RotateKeys():
@@ -211,25 +211,23 @@
     match fault:
         case CutZones(seconds=seconds):
             one, other = world.random.sample(zones, 2)
-            world.network.cut(one, other)
-            world.after(seconds, world.network.heal)
+            _cut_for(world, one, other, seconds)
             return f"{one} {other}"
         case CutPlatform(seconds=seconds):
             zone = world.random.choice(zones)
             for other in (*zones, PLATFORM):
                 if other != zone:
-                    world.network.cut(zone, other)
-            world.after(seconds, world.network.heal)
+                    _cut_for(world, zone, other, seconds)
             return zone
         case PlatformDown(seconds=seconds):
-            world.platform_down = True
-            world.after(seconds, lambda: setattr(world, "platform_down", False))
+            world.platform_down_until = max(world.platform_down_until, world.now + seconds)
             return PLATFORM
         case PlatformStale(seconds=seconds):
             old_copy = copy_platform(world.platform)
             _change_service_class(world, "standard")
-            world.after(1.0, lambda: setattr(world, "stale_platform", old_copy))
-            world.after(1.0 + seconds, lambda: setattr(world, "stale_platform", None))
+            until = world.now + 1.0 + seconds
+            world.after(1.0, lambda: world.start_stale_reads(old_copy, until))
+            world.at(until, world.end_stale_reads)
             return PLATFORM
         case ReclassTwice():
             _change_service_class(world, "bulk")
@@ -278,6 +276,17 @@
     world.submit(node, DrainRequested(world.now + DRAIN_SECONDS))
 
 
+def _stop_without_handover_acks(world: World, node: EntryNode, seconds: float) -> None:
+    lost_until = world.now + seconds
+    world.handover_acks_lost_until = max(world.handover_acks_lost_until, lost_until)
+    _stop_entry_vm(world, node)
+
+
+def _cut_for(world: World, one: str, other: str, seconds: float) -> None:
+    world.network.cut(one, other)
+    world.after(seconds, lambda: world.network.restore(one, other))
+
+
 def _kill_during_handover(world: World, node: EntryNode) -> None:
     _stop_entry_vm(world, node)
     delay = world.random.uniform(0.0, 0.05)
--- a/marjoramford/standins/networks.py
+++ b/marjoramford/standins/networks.py
@@ -1,5 +1,6 @@
 """Simulated network: latency, loss, duplication and partitions between availability zones."""
 
+from collections import Counter
 from random import Random
 
 from .deployments import Deployment
@@ -17,11 +18,16 @@
         self._random = random
         self._loss = loss
         self._duplication = duplication
-        self._cuts: set[frozenset[str]] = set()
+        self._cuts: Counter[frozenset[str]] = Counter()
 
     def cut(self, first: str, second: str) -> None:
         """Partitions two availability zones, or a zone and the platform, from each other."""
-        self._cuts.add(frozenset((first, second)))
+        self._cuts[frozenset((first, second))] += 1
+
+    def restore(self, first: str, second: str) -> None:
+        """Ends one cut between two places; they stay partitioned while there is another one."""
+        pair = frozenset((first, second))
+        self._cuts[pair] = max(0, self._cuts[pair] - 1)
 
     def heal(self) -> None:
         """Ends all partitions."""
@@ -29,7 +35,7 @@
 
     def is_cut(self, first: str, second: str) -> bool:
         """Whether two zones, or a zone and the platform, are partitioned from each other."""
-        return first != second and frozenset((first, second)) in self._cuts
+        return first != second and self._cuts[frozenset((first, second))] > 0
 
     def draw_loss(self) -> bool:
         """Draws whether a datagram is lost."""
--- a/marjoramford/standins/worlds.py
+++ b/marjoramford/standins/worlds.py
@@ -129,8 +129,10 @@
     """Several entry VMs, backend servers, callers and the platform under a virtual clock.
 
     Attributes:
+        platform_down_until: until when the platform does not answer.
         stale_platform: outdated copy that answers all reads, or None if reads are up to date.
-        drop_handover_acks: whether replies to handovers are lost.
+        stale_until: until when the outdated copy answers.
+        handover_acks_lost_until: until when replies to handovers are lost.
         spread_started_at: when each measured catalogue change that has not reached every entry VM
             was made, by revision.
         spread_seconds: how long each measured change took to reach every entry VM.
@@ -144,13 +146,14 @@
         self.random = Random(seed)
         self.network = Network(deployment, self.random, settings.loss, settings.duplication)
         self.platform = PlatformModel()
-        self.platform_down = False
+        self.platform_down_until = float("-inf")
         self.stale_platform: PlatformModel | None = None
+        self.stale_until = float("-inf")
         self.ledger = Ledger()
         self.entry_nodes: dict[str, EntryNode] = {}
         self.server_nodes: dict[str, ServerNode] = {}
         self.sessions: list[CallerSession] = []
-        self.drop_handover_acks = False
+        self.handover_acks_lost_until = float("-inf")
         self.spread_started_at: dict[int, float] = {}
         self.spread_seconds: list[float] = []
         self.leaving_since: dict[str, float] = {}
@@ -161,6 +164,16 @@
         self._host_count = 0
         self._build()
 
+    @property
+    def platform_down(self) -> bool:
+        """Whether the platform does not answer."""
+        return self.now < self.platform_down_until
+
+    @property
+    def drop_handover_acks(self) -> bool:
+        """Whether replies to handovers are lost."""
+        return self.now < self.handover_acks_lost_until
+
     # Setup and changes of the fleet.
 
     def _build(self) -> None:
@@ -309,6 +322,16 @@
         for event in queued_events:
             self._handle(node, event)
 
+    def start_stale_reads(self, copy: PlatformModel, until: float) -> None:
+        """Lets an outdated copy answer all reads; an older one that answers already stays."""
+        self.stale_platform = self.stale_platform or copy
+        self.stale_until = max(self.stale_until, until)
+
+    def end_stale_reads(self) -> None:
+        """Lets the platform answer again, unless an outdated copy answers for longer."""
+        if self.now >= self.stale_until:
+            self.stale_platform = None
+
     def start_spread_measurement(self) -> None:
         """Starts measuring how long the latest catalogue change takes to reach all entry VMs."""
         self.spread_started_at[self.platform.catalogue.through] = self.now
