The stand-in caller counts one restart of an upload for one loss

Experiments reported more restarted uploads than there were: an upload whose server was lost counted one restart at the loss and another one when the flow was opened on a new stream. A late acknowledgement of the lost server also moved the restarted upload on, past pieces that the new server never got.

Cause: the restart was made, and counted, in two places, and the first was before the new server was known.

The upload is restarted once, when the flow is opened again. Handover.has_left and _RunningDispatch.ended, which nothing used, are gone.

--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -113,11 +113,6 @@
         self._successor_refused = False
         self._exit_at: float | None = None
 
-    @property
-    def has_left(self) -> bool:
-        """Whether this entry VM is in state `left`; the process exits after the linger time."""
-        return self._exit_at is not None
-
     def start_drain(self, deadline: float, now: float) -> list[Action]:
         """Starts the planned stop; no new flows are accepted from now on.
 
--- a/marjoramford/standins/caller_sessions.py
+++ b/marjoramford/standins/caller_sessions.py
@@ -153,6 +153,7 @@
         self._last_number = 0
         self._pending: dict[int, PendingRequest] = {}
         self._unsent: list[PendingRequest] = []
+        self._server_lost = False
         self._request_count = 0
 
     @property
@@ -285,8 +286,13 @@
     def _handle_opened(self, message: Opened, now: float) -> None:
         if message.nonce != self._nonce or self.token:
             return
-        if self._stream and message.stream != self._stream:
-            self._restart_stream(now)
+        has_new_stream = self._stream and message.stream != self._stream
+        if has_new_stream and self.board is not None:
+            self.board.next_index = 0
+            self.board.started_at = now
+        if (has_new_stream or self._server_lost) and self.upload is not None:
+            self._restart_upload(self.upload)
+        self._server_lost = False
         self._flow = message.flow
         self._stream = message.stream
         self._last_number = 0
@@ -299,13 +305,10 @@
         self._last_confirmed_at = now
         self._renew_at = now + (expires_at - now) * RENEW_AT_LIFETIME_SHARE
 
-    def _restart_stream(self, now: float) -> None:
-        if self.board is not None:
-            self.board.next_index = 0
-            self.board.started_at = now
-        if self.upload is not None and not self.upload.whole:
-            self.upload.next_index = 0
-            self.upload.restarts += 1
+    def _restart_upload(self, upload: Upload) -> None:
+        if not upload.whole:
+            upload.next_index = 0
+            upload.restarts += 1
 
     def _reopen(self, cause: str, now: float) -> None:
         """Drops the token so that the next poll opens the flow again.
@@ -323,9 +326,7 @@
                 self._unsent.append(pending)
             else:
                 self._finish_request(self._flow, number, "unknown", cause, now)
-        if cause == "server lost" and self.upload is not None and not self.upload.whole:
-            self.upload.next_index = 0
-            self.upload.restarts += 1
+        self._server_lost = cause == "server lost"
         self.reopened[cause] = self.reopened.get(cause, 0) + 1
         self.token = b""
         self._nonce = self._random.getrandbits(32)
--- a/marjoramford/standins/worlds.py
+++ b/marjoramford/standins/worlds.py
@@ -122,7 +122,6 @@
     node: EntryNode
     server: ServerNode
     action: Dispatch
-    ended: bool = False
 
 
 class World(Schedule):
