The reload event says applied only when all settings are in force

On-call engineers would read applied=True after SIGHUP and take a changed setting for being in force, though only seeds and stop are without a restart.

Cause: the event said whether the file was valid.

Before, the settings that need a restart were also taken over into the daemon's copy, so a second reload could not have seen them.

Only seeds and stop are taken over, and needs_restart names every other setting that differs from what runs, at each reload until a restart or until it is changed back.

--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -197,12 +197,30 @@
     def _reload(self) -> None:
         match self._reload_settings():
             case Ok(settings):
-                self._settings = settings
+                self._settings = msgspec.structs.replace(
+                    self._settings, seeds=settings.seeds, stop=settings.stop
+                )
                 self._group.replace_seeds([Address.parse(seed) for seed in settings.seeds])
-                log_event(logger, LogEvent.SETTINGS_RELOADED, applied=True)
+                self._log_reload(settings)
             case Err(error):
                 log_event(logger, LogEvent.SETTINGS_RELOADED, applied=False, error=error)
 
+    def _log_reload(self, settings: PacketVmSettings) -> None:
+        unapplied = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        if not unapplied:
+            log_event(logger, LogEvent.SETTINGS_RELOADED, applied=True)
+            return
+        log_event(
+            logger,
+            LogEvent.SETTINGS_RELOADED,
+            applied=False,
+            needs_restart=" ".join(unapplied),
+        )
+
     async def _drain(self, packets: PacketSocket) -> None:
         """Drains connections: reports not ready and keeps forwarding until no packets arrive.
 
