--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -79,10 +79,10 @@
 )
 
 
-def usable_parts(shares, limit, clocks) -> list[int]:
+def usable_parts(shares, limit, clocks, resource=Resource.LOAD) -> list[int]:
     """Returns what each entry VM may use; a negative part does not make up for another one."""
     return [
-        max(0, share.available("s", Resource.LOAD, limit, clocks[name]))
+        max(0, share.available("s", resource, limit, clocks[name]))
         for name, share in shares.items()
     ]
 
@@ -140,3 +140,29 @@
 
 def test_the_share_is_zero_before_the_first_vm_list():
     assert LimitShares("a", "z1", HOLD, 0.5).available("s", Resource.LOAD, 100, NOW) == 0
+
+
+@pytest.mark.parametrize(
+    ("resource", "lease_seconds", "learned_after"),
+    [(Resource.CONNECTIONS, 60.0, 1.0), (Resource.LOAD, LEASE_SECONDS, HOLD - 0.1)],
+    ids=["connections", "load"],
+)
+def test_leases_do_not_exceed_the_limit_while_the_fleet_grows(
+    resource, lease_seconds, learned_after
+):
+    """The lender's share shrinks below what it has lent, and the joined ones get theirs."""
+    shares = make_shares(FLEET)
+    larger_fleet = FLEET | {"z1": ("a", "b", "f", "g", "h")}
+    for name in "fgh":
+        shares[name] = LimitShares(name, "z1", HOLD, CLOCK_ERROR)
+        shares[name].set_fleet(larger_fleet, False, NOW)
+    learned_at = NOW + learned_after
+    request = LimitRequest("s", resource, 40)
+    for _ in range(4):
+        lease = shares["a"].lend(request, 40, 0, learned_at + lease_seconds, learned_at)
+        shares["b"].borrow(lease, learned_at)
+    for name in "abcde":
+        shares[name].set_fleet(larger_fleet, False, learned_at)
+    for seconds in range(80):
+        clocks = dict.fromkeys(shares, learned_at + seconds)
+        assert sum(usable_parts(shares, 40, clocks, resource)) <= 40
