--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -57,6 +57,7 @@
 SHED_BACKOFF_FACTOR = 0.25
 UNREACHABLE_BACKOFF_SECONDS = 0.5
 MIN_RETRY_DELAY_SECONDS = 0.5
+LEFT_REASON = "entry VM has left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,7 @@
         self._running_by_service: Counter[str] = Counter()
         self._timers: list[tuple[float, int, int]] = []
         self._last_dispatch = 0
+        self._closed = False
 
     @property
     def running_count(self) -> int:
@@ -110,8 +112,8 @@
         """Handles a request of a flow that is coordinated here.
 
         A new request is dispatched, queued or refused. A retransmission gets the final state
-        again if there is one, and otherwise no reply. A stale number gets `OutcomeUnknown`, or no
-        reply if the flow is frozen for a hand-over.
+        again if there is one, and otherwise no reply. A stale number gets `OutcomeUnknown`; while
+        the flow is frozen for a hand-over no reply, and `CoordinatorLost` if it was abandoned.
         """
         flow = self._node.flows.get(token.flow)
         if flow is None:
@@ -122,6 +124,8 @@
         match flow.admit(request.number):
             case Retransmission(record):
                 return self._final_state_actions(record) if record.is_final else []
+            case StaleNumber() if flow.is_abandoned:
+                return [SendToCaller(caller, encode(CoordinatorLost(token.flow)))]
             case StaleNumber() if flow.is_frozen:
                 return []
             case StaleNumber():
@@ -147,6 +151,18 @@
         actions = self._update_request(record, event.outcome, now)
         return actions + self.dispatch_waiting(record.service, now)
 
+    def close(self, now: float) -> list[Action]:
+        """Dispatches nothing from now on, since the process exits soon; gives up queued requests.
+
+        Running requests go on, and their answers are delivered.
+        """
+        self._closed = True
+        actions: list[Action] = []
+        for queue in self._queues.values():
+            while (record := queue.pop()) is not None:
+                actions += self._give_up(record, LEFT_REASON, now)
+        return actions
+
     def schedule_record_expiry(self, flow_number: int, now: float) -> None:
         """Schedules the removal of the records that came with an adopted flow."""
         flow = self._node.flows.get(flow_number)
@@ -165,18 +181,26 @@
         return actions
 
     def dispatch_waiting(self, service: str, now: float) -> list[Action]:
-        """Dispatches queued requests of a service until no server accepts another one."""
+        """Dispatches queued requests of a service until no server accepts another one.
+
+        Requests that wait for their sticky server are passed over and keep their places.
+        """
         queue = self._queues.get(service)
-        actions = self._give_up_late(queue, service, now) if queue and len(queue) else []
-        while queue and len(queue):
-            record = queue.pop()
-            if record is None:
-                break
+        if queue is None or not len(queue):
+            return []
+        actions = self._give_up_late(queue, service, now)
+        passed_over: list[RequestRecord] = []
+        while (record := queue.pop()) is not None:
+            if self._awaits_sticky_server(record, now):
+                passed_over.append(record)
+                continue
             dispatch = self._try_dispatch(record, now)
             if dispatch is None:
-                queue.push(record, at_front=True)
+                passed_over.append(record)
                 break
             actions.append(dispatch)
+        for record in reversed(passed_over):
+            queue.push(record, at_front=True)
         return actions
 
     def _accept(
@@ -205,6 +229,8 @@
             return self._give_up(record, "deadline has passed", now)
         if len(request.body) > MAX_REQUEST_BODY_BYTES:
             return self._give_up(record, "body is too long", now)
+        if self._closed:
+            return self._give_up(record, LEFT_REASON, now)
         self._budget(record.service).deposit()
         return self._dispatch_or_queue(record, now)
 
@@ -215,7 +241,7 @@
 
     def _dispatch_or_queue(self, record: RequestRecord, now: float) -> list[Action]:
         queue = self._queue(record.service)
-        if not len(queue):
+        if all(self._awaits_sticky_server(waiting, now) for waiting in queue.waiting()):
             dispatch = self._try_dispatch(record, now)
             if dispatch is not None:
                 return [dispatch]
@@ -335,9 +361,8 @@
         node = self._node
         if record.deadline <= now:
             return None
-        # A sticky request waits until its server is open instead of running on another one.
-        sticky = node.servers.get(record.sticky_server) if record.sticky_server else None
-        if sticky is not None and sticky.accepts_work and sticky.ejected_until <= now:
+        sticky = self._usable_sticky_server(record, now)
+        if sticky is not None:
             return sticky if sticky.is_open(now) else None
         candidates = node.servers.sample_candidates(record.service, node.random, now)
         servers = [server for server in candidates if server.is_open(now)]
@@ -350,6 +375,22 @@
         context = ChoiceContext(key, node.own.zone, report_lifetime_seconds, now)
         return choose(node.policy, servers, context, node.random)
 
+    def _usable_sticky_server(self, record: RequestRecord, now: float) -> BackendServer | None:
+        """Returns the only server that may get a sticky request now; None if any may get it.
+
+        A sticky request waits until its server is open instead of running on another one.
+        """
+        if not record.sticky_server:
+            return None
+        server = self._node.servers.get(record.sticky_server)
+        if server is None or not server.accepts_work or server.ejected_until > now:
+            return None
+        return server
+
+    def _awaits_sticky_server(self, record: RequestRecord, now: float) -> bool:
+        server = self._usable_sticky_server(record, now)
+        return server is not None and not server.is_open(now)
+
     def _update_server(
         self, running: _RunningDispatch, outcome: DispatchOutcome, now: float
     ) -> None:
@@ -370,6 +411,8 @@
                 server.record_failure()
                 server.closed_until = now + UNREACHABLE_BACKOFF_SECONDS
                 servers.eject_if_failing(server, now)
+            case ProvedNotRun(expired=True):
+                pass
             case ProvedNotRun():
                 age_seconds = now - server.reported_at
                 report_is_current = (
@@ -398,17 +441,21 @@
                 return self._finish(record, Unknown("answer is too long"))
             case ProvedNotRun():
                 record.requeue(now)
-                return self._retry(record, now)
+                in_time = record.deadline > now
+                at_once = in_time and self._budget(record.service).try_spend()
+                return self._retry(record, now, at_once)
             case BrokenOff(reason=reason):
                 if not record.idempotent or not self._budget(record.service).try_spend():
                     return self._finish(record, Unknown(reason))
                 record.requeue_after_break(now)
-                return self._retry(record, now)
+                return self._retry(record, now, at_once=True)
 
-    def _retry(self, record: RequestRecord, now: float) -> list[Action]:
+    def _retry(self, record: RequestRecord, now: float, at_once: bool) -> list[Action]:
         if record.deadline <= now:
             return self._give_up(record, "deadline has passed", now)
-        if self._budget(record.service).try_spend():
+        if self._closed:
+            return self._give_up(record, LEFT_REASON, now)
+        if at_once:
             dispatch = self._try_dispatch(record, now)
             if dispatch is not None:
                 return [dispatch]
