--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/packet_comparisons.py
@@ -11,7 +11,7 @@
 from .packet_experiments import WARMUP_SECONDS, PacketExperiment, PacketMeasures, PacketPlan
 from .routes import Route
 from .standins.deployments import DEPLOYMENTS
-from .standins.packet_faults import KillAllVms, inject_fault
+from .standins.packet_faults import KillAllVms, PacketFault, inject_fault
 from .standins.packet_vms import BalancerFactory
 from .standins.packet_worlds import PacketWorld, PacketWorldSettings
 from .standins.schedules import START_EPOCH_SECONDS
@@ -137,9 +137,25 @@
     experiment = PacketExperiment(plan, PacketWorldSettings(make_balancer=make_balancer))
     OracleBalancer.world = experiment.world
     if pattern.outage:
-        world = experiment.world
-        world.at(
-            START_EPOCH_SECONDS + WARMUP_SECONDS + OUTAGE_AT_SECONDS,
-            partial(inject_fault, world, KillAllVms()),
-        )
+        _schedule_fault(experiment.world, OUTAGE_AT_SECONDS, KillAllVms())
     return experiment.run()
+
+
+def run_with_faults(
+    plan: PacketPlan, timed_faults: Sequence[tuple[float, PacketFault]]
+) -> PacketMeasures:
+    """Runs one experiment with faults in addition to those that its plan draws.
+
+    Args:
+        plan: parameters of the experiment.
+        timed_faults: the faults, each with its time in seconds after the start of the traffic.
+    """
+    experiment = PacketExperiment(plan)
+    for seconds, fault in timed_faults:
+        _schedule_fault(experiment.world, seconds, fault)
+    return experiment.run()
+
+
+def _schedule_fault(world: PacketWorld, seconds: float, fault: PacketFault) -> None:
+    moment = START_EPOCH_SECONDS + WARMUP_SECONDS + seconds
+    world.at(moment, partial(inject_fault, world, fault))
--- a/marjoramford/packet_experiments.py
+++ b/marjoramford/packet_experiments.py
@@ -69,6 +69,7 @@
             `LATE_ANSWER_WORTH` if later, 0 if not at all.
         windows: the same for each window of `WINDOW_SECONDS`, by when requests were created.
         worst_windows: mean of the `WORST_WINDOWS` lowest windows.
+        restores: how often the store came back from a copy.
     """
 
     seed: int
@@ -80,6 +81,7 @@
     worth: float = 0.0
     windows: list[float] = field(default_factory=list)
     worst_windows: float = 0.0
+    restores: int = 0
     findings: PacketFindings = field(default_factory=PacketFindings)
 
     @property
@@ -154,6 +156,7 @@
         measures = self._measures
         measures.findings = self.world.checker.findings
         measures.ends = self._traffic.ends
+        measures.restores = self.world.catalogue.restores
         offered = sum(self._windows.values())
         measures.worth = sum(self._window_worth.values()) / max(1, offered)
         measures.windows = [
--- a/marjoramford/standins/packet_checkers.py
+++ b/marjoramford/standins/packet_checkers.py
@@ -1,7 +1,8 @@
 """Checks of the platform's rules for opaque flows during a simulation.
 
-The checks use only what callers, backend servers and the store observe, never the internal state of
-an entry VM. The names of the rules and their time limits are the platform's.
+The checks use only what callers, backend servers and the store observe. The one exception is the
+check of the server lists (LIST), which looks into the entry VMs; it is not one of the platform's
+rules. The names of the other rules and their time limits are the platform's.
 """
 
 from collections import Counter, defaultdict
@@ -9,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ..addresses import Address
 from ..packets import FlowKey
 from ..platform.packets import FLAG_SYN
 from .packet_callers import CallerFlow
@@ -27,6 +29,10 @@
 # A refusal for overload must come within this time after most slots were taken; an entry VM learns
 # of an answer a round trip later, and judges anew ten times a second.
 OVERLOAD_SECONDS = 0.5
+# An entry VM must know an entry this long after it was written, and have given up the server this
+# long after its entry was removed, if it and the store are stable.
+LISTED_SECONDS = 1.0
+REMOVED_SECONDS = 5.0
 MAX_NOTES = 20
 
 
@@ -36,6 +42,7 @@
     now: float
     catalogue: PacketCatalogue
     servers: dict[str, PacketServer]
+    vms: list[EmulatedVm]
 
     def last_vm(self, key: FlowKey) -> EmulatedVm | None:
         """Returns the entry VM that received the flow's last packet."""
@@ -118,7 +125,7 @@
         holder = self._world.servers.get(self._server_by_flow.get(flow.key, ""))
         if holder is None or not holder.has_open_flow(flow.key):
             return
-        if self._is_path_stable(flow.key) and self._world.is_stable(holder.name):
+        if self._counts_for_flows(flow.key, holder):
             self._record_violation(
                 "FLOW", f"{flow.key} was reset although it is open at {holder.name}"
             )
@@ -164,6 +171,50 @@
         if 2 * sum(server.load >= SLOTS for server in servers) > len(servers):
             self._slots_taken_at[service] = self._world.now
 
+    # Server lists
+
+    def check_server_lists(self) -> None:
+        """Checks that each entry VM has the store's list, if it and the store are stable.
+
+        This compares the state of an entry VM, since callers notice a wrong list only by chance.
+        """
+        stable_since = self._world.now - STABLE_SECONDS
+        if self._world.catalogue.down or self._world.catalogue.last_fault_at >= stable_since:
+            return
+        for vm in self._world.vms:
+            if vm.reads_store and vm.last_fault_at < stable_since:
+                self._check_server_list(vm)
+
+    def _check_server_list(self, vm: EmulatedVm) -> None:
+        now, catalogue = self._world.now, self._world.catalogue
+        in_force = vm.balancer.server_list.servers
+        for name, record in catalogue.records.items():
+            server = in_force.get(name)
+            if catalogue.changed_at(name) > now - LISTED_SECONDS:
+                continue
+            address = Address(record.host, record.data_port)
+            expected = (record.service, address, record.state == "leaving", False, None)
+            if server is None:
+                self._record_violation("LIST", f"{vm.name} lacks {name}")
+                continue
+            known = (
+                server.service,
+                server.data_address,
+                server.leaving,
+                server.gone,
+                server.unlisted_since,
+            )
+            if known != expected:
+                self._record_violation("LIST", f"{vm.name} has {known} of {name}, not {expected}")
+        for name in self._world.servers:
+            server = in_force.get(name)
+            was_removed = (
+                name not in catalogue.records
+                and catalogue.changed_at(name) <= now - REMOVED_SECONDS
+            )
+            if was_removed and server is not None and not server.gone:
+                self._record_violation("LIST", f"{vm.name} has {name}, which the store lacks")
+
     # Rules
 
     def _check_refusal(self, flow: CallerFlow) -> None:
@@ -241,7 +292,7 @@
         ):
             return
         del self._stray_packets[key]
-        if self._is_path_stable(key) and self._world.is_stable(holder.name):
+        if self._counts_for_flows(key, holder):
             self._record_violation(
                 "FLOW", f"packets of {key} go to {server.name} although it is open at {holder.name}"
             )
@@ -252,6 +303,17 @@
         store_is_stable = self._world.catalogue.last_fault_at < stable_since
         return store_is_stable and vm is not None and vm.last_fault_at < stable_since
 
+    def _counts_for_flows(self, key: FlowKey, holder: PacketServer) -> bool:
+        """Returns whether no fault excuses harm to an open flow.
+
+        Planned work does not excuse it, nor does an outage or a restore of the store: an open flow
+        needs nothing from the store as long as its server runs.
+        """
+        vm = self._world.last_vm(key)
+        stable_since = self._world.now - STABLE_SECONDS
+        is_vm_stable = vm is not None and vm.last_unplanned_fault_at < stable_since
+        return is_vm_stable and self._world.is_stable(holder.name)
+
     def _count_runs(self, request: str) -> int:
         servers: Iterable[PacketServer] = self._world.servers.values()
         return sum(server.runs[request] for server in servers)
--- a/marjoramford/standins/packet_faults.py
+++ b/marjoramford/standins/packet_faults.py
@@ -1,6 +1,8 @@
 """Planned changes and faults that an experiment injects into the simulated platform."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from .packet_servers import PacketServer
 from .packet_worlds import PacketWorld
@@ -11,6 +13,7 @@
 LEAVING_SECONDS = 6.0
 # Entries that expired during an outage of the store are written again within this time after it.
 MAX_RELIST_SECONDS = 2.0
+WRITE_RETRY_SECONDS = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,22 @@
     seconds: float = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """The store is unavailable to all and comes back from a copy, in a new era.
+
+    Afterwards the running servers and the operator write again what the store should hold, and the
+    entries of servers that no longer run expire, since nobody renews their leases.
+
+    Attributes:
+        seconds: length of the outage.
+        copy_age_seconds: age of the copy when the outage begins.
+    """
+
+    seconds: float = 2.0
+    copy_age_seconds: float = 4.0
+
+
 @dataclass(frozen=True, slots=True)
 class CutZone:
     """An availability zone is cut off from the others; its callers still reach it."""
@@ -97,6 +116,7 @@
     | FreezeVm
     | TurnAwayVm
     | StopStore
+    | RestoreStore
     | CutZone
     | LoseDatagrams
 )
@@ -109,6 +129,8 @@
     FreezeVm(),
     TurnAwayVm(),
     StopStore(),
+    RestoreStore(),
+    RestoreStore(seconds=0.15, copy_age_seconds=8.0),
     CutZone(),
     LoseDatagrams(),
 )
@@ -135,6 +157,8 @@
             return _change_routes(world)
         case StopStore(seconds=seconds):
             return _stop_store(world, seconds)
+        case RestoreStore(seconds=seconds, copy_age_seconds=copy_age):
+            return _restore_store(world, seconds, copy_age)
         case CutZone(seconds=seconds):
             return _cut_zone(world, seconds)
         case LoseDatagrams(share=share, seconds=seconds):
@@ -220,24 +244,74 @@
     for server in expired:
         catalogue.remove_server(server.name, world.now)
 
-    def restore_store() -> None:
+    def come_back() -> None:
         catalogue.down = False
         catalogue.last_fault_at = world.now
         for server in expired:
-            world.after(
-                world.random.uniform(0.0, MAX_RELIST_SECONDS), lambda s=server: _relist(world, s)
-            )
+            _write_within(world, MAX_RELIST_SECONDS, partial(_relist, world, server))
 
-    world.after(seconds, restore_store)
+    world.after(seconds, come_back)
     return f"{len(expired)} entries lapse"
 
 
+def _restore_store(world: PacketWorld, seconds: float, copy_age: float) -> str:
+    catalogue = world.catalogue
+    if catalogue.down:
+        return ""
+    catalogue.down = True
+    catalogue.last_fault_at = world.now
+    copied_at = world.now - copy_age
+
+    def come_back() -> None:
+        catalogue.restore(copied_at, world.now)
+        catalogue.down = False
+        catalogue.last_fault_at = world.now
+        for server in world.running_servers():
+            _write_within(world, MAX_RELIST_SECONDS, partial(_relist, world, server))
+        _write_within(world, MAX_RELIST_SECONDS, partial(_publish_routes_again, world))
+        for name in catalogue.records:
+            if not world.servers[name].alive:
+                expire = partial(_expire_entry, world, name)
+                world.after(ENTRY_EXPIRY_SECONDS, partial(_write_when_up, world, expire))
+
+    world.after(seconds, come_back)
+    return f"{seconds} s, copy of {copy_age} s earlier"
+
+
+def _write_within(world: PacketWorld, seconds: float, write: Callable[[], None]) -> None:
+    """Makes a write to the store after a random time."""
+    world.after(world.random.uniform(0.0, seconds), partial(_write_when_up, world, write))
+
+
+def _write_when_up(world: PacketWorld, write: Callable[[], None]) -> None:
+    """Makes a write to the store, again and again until the store is available."""
+    if world.catalogue.down:
+        world.after(WRITE_RETRY_SECONDS, partial(_write_when_up, world, write))
+    else:
+        write()
+
+
 def _relist(world: PacketWorld, server: PacketServer) -> None:
-    if server.alive:
-        state = "leaving" if server.name in world.checker.draining else "live"
+    """Writes the entry of a running server, unless the store has it as it should be."""
+    state = "leaving" if server.name in world.checker.draining else "live"
+    record = world.catalogue.records.get(server.name)
+    if server.alive and (record is None or record.state != state):
         world.list_server(server, state)
 
 
+def _publish_routes_again(world: PacketWorld) -> None:
+    """Writes the newest routes as they were, or as a new version."""
+    if world.random.random() < 0.5:
+        world.catalogue.publish_routes_again(world.now)
+    else:
+        world.catalogue.publish_routes(world.catalogue.history[-1].services, world.now)
+
+
+def _expire_entry(world: PacketWorld, name: str) -> None:
+    if not world.servers[name].alive:
+        world.catalogue.remove_server(name, world.now)
+
+
 def _cut_zone(world: PacketWorld, seconds: float) -> str:
     zone = world.random.choice(world.deployment.zones)
     for other in world.deployment.zones:
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -48,6 +48,7 @@
         rotation: whether the fabric sends packets to it.
         last_fault_at: when a fault or planned change last hit it or its path to the store, in
             seconds.
+        last_unplanned_fault_at: the same for faults alone.
         boots: number of starts and kills of its process; identifies one run of it.
     """
 
@@ -66,6 +67,7 @@
         self.address = address
         self.rotation = Rotation()
         self.last_fault_at = host.now
+        self.last_unplanned_fault_at = float("-inf")
         self.boots = 0
         self.balancer: FlowBalancer | None = None
         self._host = host
@@ -92,13 +94,21 @@
         is_serving = self.balancer is not None and not self._is_stopping
         return is_serving and not self._is_frozen and self.balancer.ready
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether its process runs and the store does not refuse its requests."""
+        is_running = self.balancer is not None and not self._is_frozen
+        return is_running and not self._store_access_denied
+
     @property
     def _is_frozen(self) -> bool:
         return self._host.now < self._frozen_until
 
-    def record_fault(self) -> None:
+    def record_fault(self, planned: bool = False) -> None:
         """Records that a fault or planned change hits it now."""
         self.last_fault_at = self._host.now
+        if not planned:
+            self.last_unplanned_fault_at = self._host.now
 
     def deny_store_access(self) -> None:
         """Makes the store refuse its requests."""
@@ -110,21 +120,21 @@
         self.record_fault()
         self._store_access_denied = False
 
-    def start(self) -> None:
+    def start(self, planned: bool = False) -> None:
         """Starts the process."""
-        self.record_fault()
+        self.record_fault(planned)
         self.boots += 1
         self._is_stopping = False
         self._buffered.clear()
         self._frozen_until = self._host.now
         self._host.after(BOOT_SECONDS, self._if_same_boot(self._start_serving))
 
-    def kill(self, down_seconds: float) -> None:
-        """Kills the process; it starts again after `down_seconds`."""
-        self.record_fault()
+    def kill(self, down_seconds: float, planned: bool = False) -> None:
+        """Ends the process; it starts again after `down_seconds`."""
+        self.record_fault(planned)
         self.boots += 1
         self.balancer = None
-        self._host.after(down_seconds, self._if_same_boot(self.start))
+        self._host.after(down_seconds, self._if_same_boot(lambda: self.start(planned)))
 
     def stop(self) -> None:
         """Begins a planned stop: drains, ends the process and starts it again.
@@ -133,9 +143,9 @@
         """
         if self.balancer is None or self._is_stopping:
             return
-        self.record_fault()
+        self.record_fault(planned=True)
         self._is_stopping = True
-        end = self._if_same_boot(lambda: self.kill(RESTART_SECONDS))
+        end = self._if_same_boot(lambda: self.kill(RESTART_SECONDS, planned=True))
         self._host.after(DRAIN_SECONDS, end)
 
     def freeze(self, seconds: float) -> None:
@@ -178,9 +188,7 @@
             self.balancer.server_list.mark_unreachable()
             return
         server_list = self.balancer.server_list
-        server_list.apply(
-            self._catalogue.servers.changes_since(server_list.version), self._host.now
-        )
+        server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
         server_list.confirm(self._host.now)
         self.balancer.apply_routes(self._catalogue.routes)
 
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -28,6 +28,7 @@
 FIRST_ROUTE_PORT = 8000
 CALLER_PORT = 7000
 CALLERS_PER_ZONE = 2
+LIST_CHECK_INTERVAL_SECONDS = 0.5
 
 
 class FlowHash(StrEnum):
@@ -256,6 +257,10 @@
             vm.rotation.record_probe(vm.ready)
         self.after(PROBE_INTERVAL_SECONDS, self._probe_vms)
 
+    def _check_server_lists(self) -> None:
+        self.checker.check_server_lists()
+        self.after(LIST_CHECK_INTERVAL_SECONDS, self._check_server_lists)
+
     # Start of the components
 
     def _start_components(self) -> None:
@@ -272,6 +277,7 @@
                 for each in range(CALLERS_PER_ZONE)
             ]
         self._probe_vms()
+        self._check_server_lists()
 
     def _start_vm(self, number: int) -> None:
         zone = self._zone_for(number)
@@ -286,7 +292,7 @@
         )
         self.vms.append(vm)
         self._vm_by_address[vm.address] = vm
-        vm.start()
+        vm.start(planned=True)
 
     def _start_caller(self, zone: str, ip: str) -> PacketCaller:
         caller = PacketCaller(ip, self.random, lambda key: self._choose_vm(key, zone))
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -13,11 +13,20 @@
 
 from marjoramford.backend_servers import BackendServer
 from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.packet_comparisons import run_with_faults
 from marjoramford.packet_experiments import PacketExperiment, PacketPlan
 from marjoramford.platform.packets import PlatformCodec
 from marjoramford.routes import Route
-from marjoramford.standins.deployments import DEPLOYMENTS, HERITAGE
+from marjoramford.server_lists import ServerList
+from marjoramford.standins.deployments import DEPLOYMENTS, GRIEVANCE, HERITAGE
 from marjoramford.standins.packet_endpoints import Packet
+from marjoramford.standins.packet_faults import (
+    CutZone,
+    KillAllVms,
+    RestoreStore,
+    TurnAwayVm,
+    inject_fault,
+)
 from marjoramford.standins.packet_servers import PacketServer
 from marjoramford.standins.packet_worlds import ROUTE_IP, FlowHash, PacketWorldSettings
 
@@ -57,6 +66,40 @@
     assert measures.promises_kept, measures.findings
 
 
+def run_drill(timed_faults, deployment=HERITAGE, seed=1):
+    """Restores the store from a copy while planned changes follow each other closely."""
+    plan = PacketPlan(deployment, seed, 25.0, "planned", fault_interval=0.5)
+    return run_with_faults(plan, timed_faults)
+
+
+ONE_DRILL = [(12.0, RestoreStore())]
+SHORT_DRILL = [(12.0, RestoreStore(0.15, 8.0))]
+TWO_DRILLS = [(10.0, RestoreStore()), (13.0, RestoreStore(0.15, 8.0))]
+DRILL_IN_A_CUT = [(11.0, CutZone()), (12.0, RestoreStore())]
+DRILL_WHILE_READERS_RESTART = [(12.0, RestoreStore()), (13.5, KillAllVms())]
+DRILL_UNSEEN_BY_SOME = [(11.0, TurnAwayVm(6.0)), (11.1, TurnAwayVm(6.0)), *SHORT_DRILL]
+
+
+@pytest.mark.parametrize(
+    ("timed_faults", "deployment", "seed"),
+    [
+        # Without eras, entries of servers that had left stayed in force (LIST).
+        pytest.param(ONE_DRILL, HERITAGE, 1, id="one"),
+        # Without eras, servers also accepted flows after their drain limit (DRAIN).
+        pytest.param(SHORT_DRILL, HERITAGE, 4, id="short"),
+        pytest.param(TWO_DRILLS, HERITAGE, 6, id="two"),
+        pytest.param(DRILL_IN_A_CUT, HERITAGE, 1, id="cut"),
+        pytest.param(DRILL_WHILE_READERS_RESTART, GRIEVANCE, 3, id="restart"),
+        pytest.param(DRILL_UNSEEN_BY_SOME, HERITAGE, 6, id="unseen"),
+    ],
+)
+def test_restore_of_the_store_breaks_no_rule(timed_faults, deployment, seed):
+    measures = run_drill(timed_faults, deployment, seed)
+    assert measures.promises_kept, measures.findings
+    drills = sum(isinstance(fault, RestoreStore) for _, fault in timed_faults)
+    assert measures.restores == drills
+
+
 def test_runs_with_the_same_seed_are_identical():
     assert run(seed=5, faults="all") == run(seed=5, faults="all")
 
@@ -181,3 +224,60 @@
 
     monkeypatch.setattr(FlowBalancer, "_refuses_for_overload", refuses)
     assert run(load=load).findings.broken["CONFIG"]
+
+
+def test_detects_entries_of_an_older_era_in_force(monkeypatch):
+    """Compares revisions across eras, as before there were eras."""
+
+    def replace_by_revision(self, changes, now):
+        for record in changes.records:
+            self._put(record, now)
+        names = {record.name for record in changes.records}
+        for name in self._records.keys() - names:
+            self._remove(name, changes.version.revision, now)
+        self.version = changes.version
+
+    monkeypatch.setattr(ServerList, "_replace", replace_by_revision)
+    findings = run_drill(SHORT_DRILL, HERITAGE, 6).findings
+    assert findings.broken["LIST"]
+    assert any("which the store lacks" in note for note in findings.notes), findings.notes
+
+
+def test_detects_a_server_missing_from_the_list(monkeypatch):
+    put = ServerList._put
+
+    def put_some(self, record, now):
+        if record.name != "i-00000003":
+            put(self, record, now)
+
+    monkeypatch.setattr(ServerList, "_put", put_some)
+    notes = run(seconds=10.0).findings.notes
+    assert any("lacks i-00000003" in note for note in notes), notes
+
+
+def test_detects_a_server_with_another_state_than_its_entry(monkeypatch):
+    monkeypatch.setattr(BackendServer, "start_leaving", lambda self, signal: None)
+    notes = run(seconds=20.0, faults="planned", fault_interval=1.0).findings.notes
+    assert any("has (" in note for note in notes), notes
+
+
+@pytest.mark.parametrize(
+    ("disturb", "counted"),
+    [
+        (lambda world, vm: None, 1),
+        (lambda world, vm: vm.stop(), 1),
+        (lambda world, vm: inject_fault(world, RestoreStore()), 1),
+        (lambda world, vm: vm.freeze(0.0), 0),
+    ],
+    ids=["calm", "planned stop", "restore of the store", "fault at the entry VM"],
+)
+def test_reset_of_an_open_flow_counts_unless_its_path_had_a_fault(disturb, counted):
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS)).world
+    world.run_until(world.now + 12.0)
+    caller = world.callers[HERITAGE.zones[0]][0]
+    flow = caller.new_flow(ROUTE_IP, world.ports["booking"])
+    caller.open(flow, lambda _opened: None)
+    world.run_until(world.now + 0.1)
+    disturb(world, world.last_vm(flow.key))
+    world.checker.on_flow_reset(flow)
+    assert world.checker.findings.broken["FLOW"] == counted
