Removals of entries that a whole read lacked already reach followers

What callers saw: nothing yet; a follower kept a removed server for good, and would have placed flows at it until it noticed the silence each time.

Cause: a reader whose whole read in pages missed an entry removed meanwhile ignored the removal that came with the next watch, since it had no such entry, and did not pass it on.

Why it works: a removal is recorded whether or not the entry was known here, in the bounded table of removals.

--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -234,7 +234,12 @@
     def _remove(self, name: str, revision: int, now: float) -> None:
         """Removes an entry; `expire` retires its server if the entry does not come back."""
         record = self._records.get(name)
-        if record is None or record.revision > revision:
+        if record is None:
+            # Followers may have an entry that a whole read here found removed already.
+            if self._removed.get(name, 0) < revision:
+                self._record_removal(name, revision)
+            return
+        if record.revision > revision:
             return
         del self._records[name]
         self._record_removal(name, revision)
