--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -424,3 +424,72 @@
         follower.apply(changes, START)
     expected = {name: entry.revision for name, entry in items.items()}
     assert versions(leader) == versions(follower) == expected
+
+
+class Lives:
+    """Servers that start and end, a store that is restored, and the list that follows it."""
+
+    def __init__(self):
+        self.subject = make_list(record("s-1"))
+        self.items = {"s-1": record("s-1")}
+        self.revision, self.era, self.now = 100, 0, START
+        self.alive = {"s-1": 0}
+        self.starts = 0
+        self.copy = (dict(self.items), self.revision)
+
+    def start(self, name):
+        self.starts += 1
+        self.alive[name] = self.starts
+        self.write(name)
+
+    def end(self, name):
+        self.alive.pop(name, None)
+
+    def write(self, name):
+        self.revision += 1
+        self.items[name] = record(name, self.revision, born=self.alive[name])
+        self.subject.apply(upsert(self.items[name], self.era), self.now)
+
+    def expire(self, name):
+        self.revision += 1
+        if self.items.pop(name, None) is not None:
+            self.subject.apply(removal(name, self.revision, self.era), self.now)
+
+    def take_copy(self, _name):
+        self.copy = dict(self.items), self.revision
+
+    def restore(self, _name):
+        self.era += 1
+        self.items, self.revision = dict(self.copy[0]), self.copy[1]
+        changes = snapshot(*self.items.values(), revision=self.revision, era=self.era)
+        self.subject.apply(changes, self.now)
+
+    def wait(self, _name):
+        confirm_for(self.subject, self.now, 1.5)
+        self.now += 1.7
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["start", "end", "expire", "take_copy", "restore", "wait"]),
+            st.sampled_from(["s-1", "s-2", "s-3"]),
+        ),
+        max_size=30,
+    )
+)
+def test_servers_that_live_and_write_again_are_listed_after_any_restores_and_no_others(script):
+    """Entries may be lost or come back at any time; in the end each live server writes its own."""
+    lives = Lives()
+    for action, name in script:
+        getattr(lives, action)(name)
+        lives.subject.confirm(lives.now)
+    for name in ["s-1", "s-2", "s-3"]:
+        if name in lives.alive:
+            lives.write(name)
+        else:
+            lives.expire(name)
+    confirm_for(lives.subject, lives.now, 2 * RELIST_SECONDS)
+    servers = lives.subject.servers.values()
+    listed = [s for s in servers if s.accepts_work and s.unlisted_since is None]
+    assert {server.name: server.incarnation for server in listed} == lives.alive
