The soak restores the store from copies and compares the entry VMs' lists with the store's

Beside the other faults, drawn by themselves so that a seed keeps those, copies of the store are taken and restored 0.5 to 4 s later after 0 to 2 s of 503, at times again before all is written again. Running servers and the operator write again what is missing, draining servers say so again, and the entries of servers that no longer run expire. At the end each entry VM's list must equal the store's within 5 s of the last write. An entry that lapsed while its server drained came back as ready; it now comes back as draining.

--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -37,6 +37,11 @@
 # The folder that holds the package; without the site module an editable install is not found.
 SOURCE_PATH = Path(__file__).parents[2]
 ENTRY_EXPIRY_SECONDS = 2.3
+# After a restore of the store, what it lost is written again within this time.
+REWRITE_SECONDS = 2.0
+WRITE_RETRY_SECONDS = 0.2
+# All entry VMs must have the store's list this long after the last change.
+LIST_SECONDS = 5.0
 DRAIN_LIMIT_SECONDS = 3.0
 STABLE_SECONDS = 4.0
 DEADLINE_SECONDS = 4.0
@@ -53,6 +58,7 @@
     log_path: Path
     proxy: StoreProxy
     ready_address: Address
+    control_address: Address
     process: asyncio.subprocess.Process | None = None
     rotation: Rotation = field(default_factory=Rotation)
     supervisor: asyncio.Task | None = None
@@ -103,6 +109,9 @@
         self._version = 0
         self._idle_route_count = 0
         self._stopping = False
+        self._config: dict[str, object] = {}
+        self._draining: set[str] = set()
+        self._restores_in_progress = 0
         self.store = PacketStore()
         self.last_fault_at = float("-inf")
         self.vms: list[EntryVmProcess] = []
@@ -175,7 +184,8 @@
         routes = [_route(BOOKING_PORT, "booking"), _route(MANIFEST_PORT, "manifest")]
         routes += [_route(10_000 + number, "booking") for number in range(self._idle_route_count)]
         limits = {"idle_timeout_ms": 15_000}
-        self.store.put("op/config", {"version": self._version, "routes": routes, "limits": limits})
+        self._config = {"version": self._version, "routes": routes, "limits": limits}
+        self.store.put("op/config", self._config)
 
     async def start_server(self, service: str, zone: str) -> PacketServer:
         """Starts a server and publishes its entry in the store."""
@@ -187,7 +197,7 @@
         self._endpoints[server.name] = endpoint
         server.start(endpoint, address, self.packet_port)
         self.servers[server.name] = server
-        self.store.put(f"servers/{server.name}", server.entry())
+        self._list_server(server)
         return server
 
     async def drain_server(self, server: PacketServer) -> None:
@@ -198,7 +208,8 @@
         """
         await self.start_server(server.service, server.zone)
         drained_at = time.monotonic()
-        self.store.put(f"servers/{server.name}", server.entry("draining"))
+        self._draining.add(server.name)
+        self._list_server(server)
         await asyncio.sleep(DRAIN_LIMIT_SECONDS + 1.0)
         late = [each for each in server.opened_flows if each.at > drained_at + DRAIN_LIMIT_SECONDS]
         was_stable = self.last_fault_at + STABLE_SECONDS < drained_at
@@ -219,7 +230,7 @@
         self.store.remove(f"servers/{server.name}")
         await asyncio.sleep(self._random.uniform(0.2, 2.0))
         if server.name in self.servers:
-            self.store.put(f"servers/{server.name}", server.entry())
+            self._list_server(server)
 
     async def degrade_store_connection(
         self, vm: EntryVmProcess, mode: ProxyMode, seconds: float
@@ -235,12 +246,106 @@
         await self._wait_during_fault(seconds)
         self.store.down = False
 
+    async def restore_store(self, copy_age: float, seconds: float) -> None:
+        """Takes a copy of the store, later makes it unavailable and restores it from the copy.
+
+        Afterwards the running servers and the operator write again what the store lost, and the
+        entries of servers that no longer run expire.
+
+        Args:
+            copy_age: age of the copy when the store becomes unavailable, in seconds.
+            seconds: how long the store is unavailable.
+        """
+        self._restores_in_progress += 1
+        copy = self.store.take_copy()
+        await asyncio.sleep(copy_age)
+        self.store.down = True
+        await self._wait_during_fault(seconds)
+        self.store.restore(copy)
+        self.store.down = False
+        self.record_event(f"store restored, era {self.store.era}")
+        running = list(self.servers.values())
+        expired = [name for name in self._listed_names() if name not in self.servers]
+        await asyncio.gather(
+            self._publish_routes_again(),
+            *(self._list_server_again(server) for server in running),
+            *(self._expire_entry(name) for name in expired),
+        )
+        self._restores_in_progress -= 1
+
     async def pause_vm(self, vm: EntryVmProcess, seconds: float) -> None:
         """Suspends an entry VM's process for some seconds."""
         vm.signal(signal.SIGSTOP)
         await self._wait_during_fault(seconds)
         vm.signal(signal.SIGCONT)
 
+    # Entries in the store
+
+    def _listed_names(self) -> dict[str, bool]:
+        """Returns the names of the servers in the store, with whether they are draining."""
+        entries = self.store.values("servers/")
+        return {
+            key.removeprefix("servers/"): entry["state"] == "draining"
+            for key, entry in entries.items()
+        }
+
+    def _list_server(self, server: PacketServer) -> None:
+        state = "draining" if server.name in self._draining else "ready"
+        self.store.put(f"servers/{server.name}", server.entry(state))
+
+    async def _list_server_again(self, server: PacketServer) -> None:
+        await self._wait_to_write(self._random.uniform(0.0, REWRITE_SECONDS))
+        expected = server.name in self._draining
+        if server.name in self.servers and self._listed_names().get(server.name) != expected:
+            self._list_server(server)
+
+    async def _publish_routes_again(self) -> None:
+        """Writes the newest routes as they were, or changes them."""
+        await self._wait_to_write(self._random.uniform(0.0, REWRITE_SECONDS))
+        if self._random.random() < 0.5:
+            self.store.put("op/config", self._config)
+        else:
+            self.change_routes()
+
+    async def _expire_entry(self, name: str) -> None:
+        await self._wait_to_write(ENTRY_EXPIRY_SECONDS)
+        self.store.remove(f"servers/{name}")
+
+    async def _wait_to_write(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        while self.store.down:
+            await asyncio.sleep(WRITE_RETRY_SECONDS)
+
+    async def check_server_lists(self) -> None:
+        """Checks that all entry VMs have the store's list soon after its last change."""
+        while self._restores_in_progress:
+            await asyncio.sleep(0.1)
+        deadline = time.monotonic() + LIST_SECONDS
+        for vm in self.vms:
+            client = HttpClient(vm.control_address, Step.PROBE_SERVER)
+            difference = await self._compare_server_list(client)
+            while difference and time.monotonic() < deadline:
+                await asyncio.sleep(0.2)
+                difference = await self._compare_server_list(client)
+            client.close()
+            if difference:
+                self.record_violation(f"{vm.name} has another list than the store: {difference}")
+
+    async def _compare_server_list(self, client: HttpClient) -> str:
+        reply = await client.get("/v1/state", LIST_SECONDS)
+        if not reply.is_ok() or reply.ok_value.status != 200:
+            return f"no state: {reply}"
+        dump = json.loads(reply.ok_value.body)
+        stored = {(name, draining, True) for name, draining in self._listed_names().items()}
+        known = {
+            (s["name"], s["leaving"], s["unlisted_seconds"] is None)
+            for s in dump["backend_servers"]
+            if not s["gone"]
+        }
+        if stored == known:
+            return ""
+        return f"not in force {sorted(stored - known)}, in force {sorted(known - stored)}"
+
     # Callers
 
     async def make_request(
@@ -347,7 +452,16 @@
             path = self._directory / f"{name}.json"
             path.write_text(json.dumps(settings))
             log_path = self._directory / f"{name}.log"
-            vm = EntryVmProcess(name, zone, ip, path, log_path, proxy, Address(ip, ready_port))
+            vm = EntryVmProcess(
+                name,
+                zone,
+                ip,
+                path,
+                log_path,
+                proxy,
+                Address(ip, ready_port),
+                Address(ip, control_port),
+            )
             self.vms.append(vm)
             vm.supervisor = asyncio.create_task(self._supervise(vm))
 
--- a/marjoramford/standins/packet_soaks.py
+++ b/marjoramford/standins/packet_soaks.py
@@ -33,10 +33,15 @@
             asyncio.create_task(_send_requests(site, caller, number, recovery_over))
             for number, caller in enumerate(site.callers)
         ]
-        await _inject_faults(site, Random(seed + 1), seconds)
+        # The restores are drawn by themselves, so that a seed keeps its other faults.
+        await asyncio.gather(
+            _inject_faults(site, Random(seed + 1), seconds),
+            _inject_restores(site, Random(seed + 2), seconds),
+        )
         await asyncio.sleep(RECOVERY_SECONDS)
         recovery_over.set()
         await asyncio.sleep(FINAL_REQUESTS_SECONDS)
+        await site.check_server_lists()
         for task in callers:
             task.cancel()
         for result in await asyncio.gather(*callers, return_exceptions=True):
@@ -77,6 +82,16 @@
         await asyncio.sleep(random.choice((0.0, 0.3, 1.0, 2.0)))
 
 
+async def _inject_restores(site: PacketSite, random: Random, seconds: float) -> None:
+    """Restores the store from a copy now and then, at times again before all is written again."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        copy_age, outage = random.uniform(0.5, 4.0), random.choice((0.0, 0.2, 1.0, 2.0))
+        site.record_event(f"store copied, down in {copy_age:.1f} s, restored {outage:.1f} s later")
+        site.spawn(site.restore_store(copy_age, outage))
+        await asyncio.sleep(random.choice((1.0, 3.0, 6.0)))
+
+
 def _inject_random_fault(site: PacketSite, random: Random) -> None:
     vm = random.choice(site.vms)
     server = random.choice(list(site.servers.values()))
--- a/marjoramford/standins/packet_stores.py
+++ b/marjoramford/standins/packet_stores.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from collections import Counter
 from urllib.parse import parse_qs, urlsplit
 
@@ -64,6 +64,14 @@
             self.revision += 1
             self._append_event({"key": key, "revision": self.revision, "tombstone": True})
 
+    def values(self, prefix: str) -> dict[str, object]:
+        """Returns the decoded values of the items whose keys start with a prefix, by key."""
+        return {
+            key: msgspec.json.decode(b64decode(item["value"]))
+            for key, item in self._items.items()
+            if key.startswith(prefix)
+        }
+
     def compact_history(self) -> None:
         """Drops the change history, so that watches from before it are answered with 410."""
         self._history.clear()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,13 @@
 """Short soak tests of real processes with fixed seeds, and tests of the checks of the soak."""
 
 import asyncio
+import json
 from random import Random
 
 import pytest
+from result import Ok
 
+from marjoramford.http_calls import HttpReply
 from marjoramford.standins.packet_callers import AttemptOutcome, CallerFlow
 from marjoramford.standins.packet_servers import PacketServer, ServerFlow
 from marjoramford.standins.packet_sites import BOOKING_PORT, PacketSite
@@ -14,7 +17,9 @@
 # 203: a SIGHUP while an entry VM was still importing its modules ended the process.
 # 605: a SIGTERM 28 ms after the start of a process, before the program's first line, ended it with
 # status -15.
-REGRESSION_RUNS = ((203, 8.0), (605, 8.0))
+# 2436: a SIGSTOP 12 ms after the start of a process, before the program's first line, and a SIGHUP
+# while it was stopped ended it with status -1.
+REGRESSION_RUNS = ((203, 8.0), (605, 8.0), (2436, 8.0))
 
 
 @pytest.mark.parametrize(("seed", "seconds"), [(3, 5.0), *REGRESSION_RUNS])
@@ -59,3 +64,40 @@
     server._flows[flow.key] = ServerFlow(True, 1, 1, 1)
     site._check_request(flow, "x", BOOKING_PORT, AttemptOutcome.RESET)
     assert len(site.findings.violations) == 1
+
+
+def list_in_store(site, server):
+    site.store.put(f"servers/{server.name}", {"state": "ready"})
+
+
+class StateClient:
+    """Answers with the state dump of an entry VM."""
+
+    def __init__(self, servers):
+        self._body = json.dumps({"backend_servers": servers}).encode()
+
+    async def get(self, target, timeout):
+        return Ok(HttpReply(200, self._body))
+
+
+LISTED = {"name": "i-1", "leaving": False, "gone": False, "unlisted_seconds": None}
+
+
+@pytest.mark.parametrize(
+    ("servers", "equal"),
+    [
+        ([LISTED], True),
+        ([LISTED, LISTED | {"name": "i-2", "gone": True}], True),
+        ([], False),
+        ([LISTED, LISTED | {"name": "i-2"}], False),
+        ([LISTED, LISTED | {"name": "i-2", "unlisted_seconds": 1.0}], False),
+        ([LISTED | {"leaving": True}], False),
+        ([LISTED | {"gone": True}], False),
+        ([LISTED | {"unlisted_seconds": 1.0}], False),
+    ],
+)
+def test_soak_detects_a_server_list_that_differs_from_the_store(servers, equal, tmp_path):
+    site, server, _ = make_site(tmp_path)
+    list_in_store(site, server)
+    difference = asyncio.run(site._compare_server_list(StateClient(servers)))
+    assert (difference == "") == equal
