What binds under overload is what an entry VM knows of the others, not open flows

The exchange of gossip, one peer every 2 s, is too slow.

A test holds that the targets can be met with counts at most 0.2 s old. An exchange as fast as that is not built.

--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/packet_comparisons.py
@@ -1,13 +1,16 @@
 """Compares placement policies for opaque flows with baselines on the same seeds."""
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
+from random import Random
 from statistics import mean
 
 from .backend_servers import BackendServer
 from .draws import choose_near_lowest
 from .flow_balancers import FlowBalancer
+from .flow_settings import PacketVmSettings
 from .packet_experiments import WARMUP_SECONDS, PacketExperiment, PacketMeasures, PacketPlan
 from .routes import Route
 from .standins.deployments import DEPLOYMENTS
@@ -22,6 +25,8 @@
 OVERLOAD_SECONDS = 20.0
 # Three times the work of a request; a full queue makes answers take five times the work.
 OVERLOAD_TARGET_SECONDS = 0.3
+# With two slots a server, one request in its queue: the answer takes 0.15 s on average.
+MAX_REQUESTS_PER_SERVER = 3
 
 
 class RandomBalancer(FlowBalancer):
@@ -67,6 +72,48 @@
         return False
 
 
+class SharedCountsBalancer(OracleBalancer):
+    """Upper bound under overload: knows the requests in progress through all entry VMs.
+
+    New flows open at the server with the fewest requests, and are refused while each server has
+    `MAX_REQUESTS_PER_SERVER`. Requests on open flows are forwarded, as everywhere.
+
+    Args:
+        exchange_seconds: greatest age of what it knows of the other entry VMs.
+    """
+
+    def __init__(
+        self, settings: PacketVmSettings, random: Random, now: float, exchange_seconds: float = 0.0
+    ):
+        super().__init__(settings, random, now)
+        self._exchange_seconds = exchange_seconds
+        self._exchange_due_at = now
+        self._others: Counter[str] = Counter()
+
+    def _refuses_for_overload(self, service: str, route: Route, now: float) -> bool:
+        usable = [s for s in self.server_list.servers.of_service(service) if s.accepts_work]
+        counts = self._count_requests(usable, now)
+        return bool(counts) and min(counts) >= MAX_REQUESTS_PER_SERVER
+
+    def _place(
+        self, service: str, avoided: tuple[BackendServer, ...], now: float
+    ) -> BackendServer | None:
+        usable = [s for s in self.server_list.servers.of_service(service) if s.accepts_work]
+        if not usable:
+            return None
+        return choose_near_lowest(usable, self._count_requests(usable, now), 0, self._random)
+
+    def _count_requests(self, servers: Sequence[BackendServer], now: float) -> list[int]:
+        if now >= self._exchange_due_at:
+            self._exchange_due_at = now + self._exchange_seconds
+            self._others = Counter()
+            for vm in self.world.vms:
+                if vm.balancer is not None and vm.balancer is not self:
+                    for server in vm.balancer.server_list.servers.values():
+                        self._others[server.name] += server.in_progress
+        return [server.in_progress + self._others[server.name] for server in servers]
+
+
 POLICIES: dict[str, type[FlowBalancer]] = {
     "random": RandomBalancer,
     "estimated": FlowBalancer,
@@ -128,7 +175,9 @@
     settings = PacketWorldSettings(
         target_seconds=OVERLOAD_TARGET_SECONDS, make_balancer=make_balancer
     )
-    return PacketExperiment(plan, settings).run()
+    experiment = PacketExperiment(plan, settings)
+    OracleBalancer.world = experiment.world
+    return experiment.run()
 
 
 def run_pattern(deployment: str, make_balancer: BalancerFactory, pattern: Pattern, seed: int):
--- a/tests/test_packet_comparisons.py
+++ b/tests/test_packet_comparisons.py
@@ -4,12 +4,15 @@
 after which the callers retry the requests that waited, and more work than all slots can do.
 """
 
+from functools import partial
+
 import pytest
 
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.packet_comparisons import (
     OUTAGE_AT_SECONDS,
     PATTERNS,
+    SharedCountsBalancer,
     UncontrolledBalancer,
     measure_policy,
     run_overload,
@@ -66,6 +69,15 @@
     assert run_overload("heritage", FlowBalancer, load, 1).in_aim_share >= minimum
 
 
+@pytest.mark.parametrize(("load", "minimum"), [(1.2, 0.75), (2.0, 0.9 / 2.0)])
+def test_shared_counts_would_serve_the_target_share_in_time(load, minimum):
+    """Shows that requests on open flows, which cannot be refused, do not put it out of reach."""
+    make_balancer = partial(SharedCountsBalancer, exchange_seconds=0.2)
+    measures = run_overload("heritage", make_balancer, load, 1)
+    assert measures.promises_kept, measures.findings
+    assert measures.in_aim_share >= minimum
+
+
 @pytest.mark.parametrize("deployment", ["heritage", "grievance"])
 @pytest.mark.parametrize("load", [0.8, 0.9])
 def test_load_below_the_slots_loses_no_service_to_refusals(deployment, load):
