Only a quick answer clears the own link, openings raise suspicion only, and one flow's copies add up

Any answer to a packet forwarded since cleared the link, also one that was itself held up: the first answer after a full link condemned all servers whose answers were queued behind it (6 resets in the test), and an answer of seconds ago still did. Now only an answer within 0.2 s does, for 0.5 s: packets queued on the link arrive in order, so by then the others have arrived. 2. Opening packets that a full server leaves unanswered, as the protocol has it, counted as silence of its open flows. They now only keep new flows away. 3. A retransmission older than the server's last answer reset its flow at once, without answer_seconds. 4. After a stall a packet read before the first tick was judged with the evidence of the time before. And two costs of the fix: copies of one flow more than 2 s apart never added up, so a lone flow late in its backoff was not reset at all; an unlisted server was protected for 3 s. A link told first without its bandwidth, by an older build, is now learnt later.

Evidence: each has a test that failed before (test_the_first_answer_after_a_full_link_..., test_openings_that_a_full_server_..., test_a_retransmission_older_than_..., test_a_packet_read_before_..., test_sparse_retransmissions_..., test_a_suspected_link_does_not_protect_..., test_a_link_that_an_older_build_...).

--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -212,6 +212,9 @@
             self._refute(update)
             return
         known = self._others.get(update.name)
+        if known is not None and known.incarnation == update.incarnation and update.link_mbps:
+            # An entry VM of an older build may have passed the update on without it.
+            known.link_mbps = update.link_mbps
         if known is not None and not self._is_newer(update, known):
             return
         if known is None or update.incarnation > known.incarnation:
--- a/marjoramford/failure_detectors.py
+++ b/marjoramford/failure_detectors.py
@@ -16,6 +16,10 @@
 # A caller retransmits unacknowledged data at least every 1.6 s. After a longer gap its packets have
 # taken another path, and what happened in between is not known here.
 MAX_RETRANSMISSION_GAP_SECONDS = 2.0
+# Callers retransmit after 0.2 s; an answer that comes sooner was not held up on the own link.
+QUICK_ANSWER_SECONDS = 0.2
+# How long a quick answer proves that the own link is free.
+LINK_PROOF_SECONDS = 0.5
 
 
 class Responsiveness(msgspec.Struct, eq=False):
@@ -25,18 +29,18 @@
         answered_at: last sign of life, on the monotonic clock in seconds.
         unanswered: retransmissions by callers since then.
         silent_since: when the oldest of the retransmitted packets was first forwarded.
-        first_retransmission_at: when the first of these retransmissions arrived.
         suspected_until: not chosen for new flows before this time if another server can be.
         last_retransmission_at: when a caller last retransmitted a packet.
+        counted_at: when the latest retransmission that counts in `unanswered` arrived.
     """
 
     answered_at: float = float("-inf")
     unanswered: int = 0
     silent_since: float = float("inf")
-    first_retransmission_at: float = float("inf")
     # `name` keeps the keys of the state dump.
     suspected_until: float = msgspec.field(default=float("-inf"), name="doubted_until")
     last_retransmission_at: float = msgspec.field(default=float("-inf"), name="repeated_at")
+    counted_at: float = float("-inf")
 
     def answer_age(self, now: float) -> float | None:
         """Returns the seconds since the last sign of life, rounded for logs; None without one."""
@@ -48,30 +52,33 @@
         self.discard_evidence()
 
     def record_retransmission(
-        self, waiting_since: float, now: float, suspicion_seconds: float
+        self, waiting_since: float, now: float, suspicion_seconds: float, flow_rounds: int = 1
     ) -> None:
         """Records the retransmission of a packet that was first forwarded at `waiting_since`.
 
-        It is ignored if the server has answered since then. Retransmissions that are more than
-        `MAX_RETRANSMISSION_GAP_SECONDS` apart belong to separate incidents and do not add up.
+        It does not count if the server has answered since then. Retransmissions that are more than
+        `MAX_RETRANSMISSION_GAP_SECONDS` apart belong to separate incidents and do not add up,
+        except those of one flow, whose data is then still unanswered: `flow_rounds`, with this one.
         """
+        self.last_retransmission_at = now
         if waiting_since < self.answered_at:
             return
-        if now - self.last_retransmission_at > MAX_RETRANSMISSION_GAP_SECONDS:
-            self.unanswered = 0
+        if now - self.counted_at > MAX_RETRANSMISSION_GAP_SECONDS:
+            self.unanswered = flow_rounds - 1
             self.silent_since = float("inf")
-        if self.unanswered == 0:
-            self.first_retransmission_at = now
         self.unanswered += 1
-        self.last_retransmission_at = now
+        self.counted_at = now
         self.silent_since = min(self.silent_since, waiting_since)
-        self.suspected_until = max(self.suspected_until, now + suspicion_seconds)
+        self.suspect(now + suspicion_seconds)
+
+    def suspect(self, until: float) -> None:
+        """Keeps the server from being chosen for new flows until a time, if another one can be."""
+        self.suspected_until = max(self.suspected_until, until)
 
     def discard_evidence(self) -> None:
         """Discards all evidence of silence."""
         self.unanswered = 0
         self.silent_since = float("inf")
-        self.first_retransmission_at = float("inf")
         self.suspected_until = float("-inf")
 
 
@@ -97,17 +104,17 @@
         return full and now - losses[0] <= self._settings.lossy_seconds
 
 
-class LinkDetector:
-    """Tells silence on this entry VM's own link from silence of single servers.
+class OwnLinkMonitor:
+    """Judges whether the silence of servers may be that of this entry VM's own link.
 
-    A link that is full delays the packets that show answers, so all servers seem silent at once. A
-    server is to blame only if another one has meanwhile answered a packet forwarded here.
+    A full link delays the packets that show answers, so all servers seem silent at once. Packets
+    that were queued there arrive in order, so an answer without delay shows that the queue is gone.
     """
 
     def __init__(self) -> None:
-        # In the order of the latest retransmissions.
+        # Times of the latest retransmissions, oldest first.
         self._silent_servers: dict[str, float] = {}
-        self._answered_packet_at = float("-inf")
+        self._quick_answer_at = float("-inf")
 
     def record_retransmission(self, server: str, now: float) -> None:
         """Records a retransmission to a server."""
@@ -117,18 +124,18 @@
         while now - silent[oldest := next(iter(silent))] > MAX_RETRANSMISSION_GAP_SECONDS:
             del silent[oldest]
 
-    def record_answer(self, server: str, forwarded_at: float) -> None:
+    def record_answer(self, server: str, forwarded_at: float, now: float) -> None:
         """Records a server's answer to a packet that was first forwarded at `forwarded_at`."""
         self._silent_servers.pop(server, None)
-        self._answered_packet_at = max(self._answered_packet_at, forwarded_at)
+        if now - forwarded_at <= QUICK_ANSWER_SECONDS:
+            self._quick_answer_at = now
 
-    def is_suspected(self, server: str, evidence: Responsiveness, now: float) -> bool:
-        """Whether a server's silence may be that of the own link.
+    def is_suspected(self, server: str, now: float) -> bool:
+        """Whether a server's silence may be the link's.
 
-        This is so if other servers are silent too, and no packet forwarded since the first
-        retransmission to this server has been answered by any server.
+        This is so if other servers are silent too, and none has lately answered without delay.
         """
-        if self._answered_packet_at >= evidence.first_retransmission_at:
+        if now - self._quick_answer_at <= LINK_PROOF_SECONDS:
             return False
         return any(
             name != server and now - at <= MAX_RETRANSMISSION_GAP_SECONDS
@@ -171,7 +178,7 @@
         now: time on the monotonic clock, in seconds.
         settings: thresholds.
         link_suspected: whether the silence may be that of this entry VM's own link; then
-            `own_link_seconds` of it are required.
+            `own_link_seconds` of it are required of a listed server.
     """
     unlisted_since = list_status.unlisted_since
     silent_since_unlisted = unlisted_since is not None and server.answered_at < unlisted_since
@@ -182,11 +189,11 @@
     if now - server.last_retransmission_at < settings.answer_seconds:
         return False
     silence = now - server.silent_since
-    if link_suspected and silence < settings.own_link_seconds:
-        return False
     factor = 2 if lossy else 1
     if silent_since_unlisted:
         enough = server.unanswered >= factor * settings.unlisted_retransmissions
         return enough and silence >= factor * settings.unlisted_seconds
+    if link_suspected and silence < settings.own_link_seconds:
+        return False
     enough = server.unanswered >= factor * settings.dead_retransmissions
     return enough and silence >= factor * settings.dead_seconds
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .backend_servers import BackendServer
-from .failure_detectors import LinkDetector, ListStatus, LossDetector, is_dead
+from .failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
 from .flow_settings import PacketVmSettings
@@ -62,7 +62,7 @@
         self._flows = PacketFlowTable(settings.max_flows)
         self._unknown_labels: dict[int, float] = {}
         self._loss_detector = LossDetector(settings.silence)
-        self._link_detector = LinkDetector()
+        self._own_link = OwnLinkMonitor()
         self._overload_controls: dict[str, OverloadControl] = {}
         self._last_tick_at = now
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
@@ -147,7 +147,7 @@
         A pause of more than `silence.stall_seconds` between two calls counts as a stall of this
         process. All evidence of silent servers is then discarded.
         """
-        if now - self._last_tick_at > self._settings.silence.stall_seconds:
+        if self._is_stalled(now):
             self._discard_evidence(now)
         self._last_tick_at = now
         self.server_list.expire(now)
@@ -213,7 +213,9 @@
         within_copy_interval = now - flow.waiting_since < self._settings.placement.copy_seconds
         if within_copy_interval or (answered and server.accepts_work):
             return Forward(server, flow.label)
-        self._record_retransmission(server, flow.waiting_since, now)
+        if not answered:
+            # No more than suspected: a full server does not answer opening packets.
+            self._suspect(server, flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
         if alternative is None or alternative is server:
             return Forward(server, flow.label)
@@ -248,17 +250,17 @@
             flow = self._adopt_flow(header, now)
             if flow is None:
                 return self._handle_unknown_label(header, now)
-        flow.discard_stale_wait(now)
         server = flow.server
         rounds = flow.rounds.count
-        waiting_since = flow.waiting_since
+        # How long a stale flow waited was not seen here.
+        waiting_since = None if flow.is_stale(now) else flow.waiting_since
         was_opening = flow.opening
         if flow.record_packet(header, now):
             self._record_answer(flow, waiting_since, now)
             if not was_opening and not rounds and waiting_since is not None:
                 self._record_answer_time(flow, now - waiting_since, now)
         elif flow.rounds.count > rounds:
-            self._record_retransmission(server, flow.waiting_since, now)
+            self._record_retransmission(flow, now)
         self._update_in_progress(flow)
         if self._is_dead(flow, now):
             self._end_flow(flow)
@@ -273,10 +275,11 @@
 
     def _is_dead(self, flow: PacketFlow, now: float) -> bool:
         server = flow.server
+        rounds = 0 if flow.is_stale(now) or self._is_stalled(now) else flow.rounds.count
         return is_dead(
             server.responsiveness,
             ListStatus(server.unlisted_since, server.gone),
-            0 if flow.is_stale(now) else flow.rounds.count,
+            rounds,
             self._loss_detector.is_lossy(now),
             now,
             self._settings.silence,
@@ -288,8 +291,11 @@
         link_suspected = self._is_link_suspected(flow.server, now)
         log_dead_server(flow, self.server_list, lossy, link_suspected, now)
 
+    def _is_stalled(self, now: float) -> bool:
+        return now - self._last_tick_at > self._settings.silence.stall_seconds
+
     def _is_link_suspected(self, server: BackendServer, now: float) -> bool:
-        return self._link_detector.is_suspected(server.name, server.responsiveness, now)
+        return self._own_link.is_suspected(server.name, now)
 
     def _adopt_flow(self, header: PacketHeader, now: float) -> PacketFlow | None:
         """Adds a flow under the label of its packet; returns None if the label is unknown.
@@ -344,7 +350,7 @@
         server = flow.server
         if waiting_since is not None:
             self.answer_latencies.observe(now - waiting_since)
-            self._link_detector.record_answer(server.name, waiting_since)
+            self._own_link.record_answer(server.name, waiting_since, now)
         if server.responsiveness.unanswered:
             self._loss_detector.record_loss(now)
             log_event(logger, LogEvent.SERVER_ANSWERS, server=server.name)
@@ -361,15 +367,21 @@
             control = self._overload_controls[service] = OverloadControl(self._settings.overload)
         control.record_answer(flow.server.name, route, seconds, now)
 
-    def _record_retransmission(
-        self, server: BackendServer, waiting_since: float, now: float
-    ) -> None:
+    def _record_retransmission(self, flow: PacketFlow, now: float) -> None:
+        server = flow.server
+        self._own_link.record_retransmission(server.name, now)
+        if flow.waiting_since >= server.responsiveness.answered_at:
+            self._suspect(server, flow.waiting_since, now)
+        server.responsiveness.record_retransmission(
+            flow.waiting_since, now, self._settings.silence.doubt_seconds, flow.rounds.count
+        )
+
+    def _suspect(self, server: BackendServer, waiting_since: float, now: float) -> None:
+        """Keeps new flows from a server that has not answered, and logs when this begins."""
         evidence = server.responsiveness
-        was_suspected = evidence.suspected_until > now
-        evidence.record_retransmission(waiting_since, now, self._settings.silence.doubt_seconds)
-        self._link_detector.record_retransmission(server.name, now)
-        if not was_suspected and evidence.suspected_until > now:
+        if evidence.suspected_until <= now:
             log_silence(server, waiting_since, self._is_link_suspected(server, now), now)
+        evidence.suspect(now + self._settings.silence.doubt_seconds)
 
     def _update_in_progress(self, flow: PacketFlow) -> None:
         """Counts the flow as a request in progress at its server while an answer is pending."""
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -123,14 +123,11 @@
         return any(label == derive_label(old.name, old.incarnation) for old in self.tried)
 
     def is_stale(self, now: float) -> bool:
-        """Whether a waiting caller's packets no longer come through this entry VM."""
-        return now - self.active_at > MAX_RETRANSMISSION_GAP_SECONDS
+        """Whether the caller's packets have not come here for longer than it waits to retransmit.
 
-    def discard_stale_wait(self, now: float) -> None:
-        """Forgets a wait whose retransmissions went through another entry VM, if there is one."""
-        if not self.opening and self.is_stale(now):
-            self.waiting_since = None
-            self.rounds.clear()
+        They then go through another entry VM, or the caller has nothing to send.
+        """
+        return now - self.active_at > MAX_RETRANSMISSION_GAP_SECONDS
 
     def record_packet(self, header: PacketHeader, now: float) -> bool:
         """Records a packet after the opening; returns whether it proves an answer of the server."""
--- a/tests/test_failure_detectors.py
+++ b/tests/test_failure_detectors.py
@@ -3,9 +3,9 @@
 import pytest
 
 from marjoramford.failure_detectors import (
-    LinkDetector,
     ListStatus,
     LossDetector,
+    OwnLinkMonitor,
     Responsiveness,
     is_dead,
 )
@@ -84,26 +84,50 @@
     assert not is_dead(subject, LISTED, 1, False, 14.8, SETTINGS)
 
 
-def test_silence_of_several_servers_is_blamed_on_the_link_until_one_answers():
-    subject = Responsiveness(answered_at=9.0)
-    subject.record_retransmission(10.0, 10.2, 2.0)
-    link = LinkDetector()
+def test_silence_of_several_servers_is_blamed_on_the_link_until_one_answers_quickly():
+    link = OwnLinkMonitor()
     link.record_retransmission("s-1", 10.2)
-    assert not link.is_suspected("s-1", subject, 10.3)
+    assert not link.is_suspected("s-1", 10.3)
     link.record_retransmission("s-2", 10.3)
-    assert link.is_suspected("s-1", subject, 10.4)
-    link.record_answer("s-3", forwarded_at=10.1)
-    assert link.is_suspected("s-1", subject, 10.4)
-    link.record_answer("s-3", forwarded_at=10.25)
-    assert not link.is_suspected("s-1", subject, 10.4)
+    assert link.is_suspected("s-1", 10.4)
+    link.record_answer("s-3", forwarded_at=9.9, now=10.5)
+    assert link.is_suspected("s-1", 10.5)
+    link.record_answer("s-3", forwarded_at=10.5, now=10.6)
+    assert not link.is_suspected("s-1", 10.6)
+
+
+def test_an_answer_of_long_ago_does_not_clear_the_link():
+    link = OwnLinkMonitor()
+    link.record_answer("s-3", forwarded_at=10.2, now=10.3)
+    link.record_retransmission("s-1", 15.0)
+    link.record_retransmission("s-2", 15.0)
+    assert link.is_suspected("s-1", 15.1)
 
 
 def test_a_server_silent_some_time_ago_does_not_put_the_link_under_suspicion():
-    subject = Responsiveness(answered_at=9.0)
-    subject.record_retransmission(14.0, 14.2, 2.0)
-    link = LinkDetector()
+    link = OwnLinkMonitor()
     link.record_retransmission("s-2", 10.3)
-    assert not link.is_suspected("s-1", subject, 14.2)
+    assert not link.is_suspected("s-1", 14.2)
+
+
+def test_sparse_retransmissions_of_one_flow_add_up():
+    """Every second copy of a flow late in its backoff is lost or goes through another entry VM."""
+    subject = Responsiveness(answered_at=9.0)
+    for rounds, now in enumerate((10.2, 13.4, 16.6), start=1):
+        subject.record_retransmission(10.0, now, 2.0, rounds)
+    assert is_dead(subject, LISTED, 3, False, 16.8, SETTINGS)
+
+
+def test_a_retransmission_older_than_the_last_answer_may_still_be_answered():
+    subject = evidence(3)
+    subject.record_retransmission(8.0, 11.4, 2.0)
+    assert subject.unanswered == 3
+    assert not is_dead(subject, LISTED, 1, False, 11.4, SETTINGS)
+
+
+def test_a_suspected_link_does_not_protect_an_unlisted_server():
+    unlisted = ListStatus(9.5, False)
+    assert is_dead(evidence(2), unlisted, 1, False, 10.2, SETTINGS, link_suspected=True)
 
 
 def test_a_suspected_link_delays_the_verdict_only():
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -23,6 +23,17 @@
     return FlowWorld(record("s-1"), record("s-2", revision=2))
 
 
+def establish_at(world, counts):
+    """Opens flows until each server has the wanted number; returns the callers by server."""
+    callers = {name: [] for name in counts}
+    while any(len(callers[name]) < count for name, count in counts.items()):
+        caller = world.caller()
+        name = caller.establish().name
+        if len(callers.get(name, ())) < counts.get(name, 0):
+            callers[name].append(caller)
+    return callers
+
+
 def test_any_entry_vm_forwards_an_open_flow_by_its_label():
     first, second = two_server_world(), two_server_world()
     caller = first.caller()
@@ -237,14 +248,89 @@
         assert isinstance(caller.receive_answer(), Forward)
 
 
+def test_the_first_answer_after_a_full_link_does_not_condemn_other_servers():
+    """A request that was forwarded while the own link was full is the first to be answered.
+
+    The answers to all others are still queued behind it.
+    """
+    world = FlowWorld(record("s-1"), record("s-2", 2), record("s-3", 3))
+    callers = establish_at(world, {"s-1": 3, "s-2": 3, "s-3": 1})
+    world.advance(1.0)
+    waiting, late = callers["s-1"] + callers["s-2"], callers["s-3"][0]
+    for caller in waiting:
+        caller.request()
+    world.advance(0.2)
+    for caller in waiting:
+        caller.send(size=200, sequence=caller.sequence - 200)
+    world.advance(0.1)
+    late.request()
+    assert world.advance(0.3) == []
+    for caller in waiting:
+        caller.send(size=200, sequence=caller.sequence - 200)
+    assert world.advance(0.4) == []
+    late.receive_answer()
+    assert world.advance(0.1) == []
+
+
+def test_openings_that_a_full_server_leaves_unanswered_do_not_count_against_its_open_flows():
+    world = FlowWorld(record("s-1"))
+    caller = world.caller()
+    caller.establish()
+    world.advance(1.0)
+    caller.request()
+    world.advance(0.2)
+    caller.send(size=200, sequence=caller.sequence - 200)
+    refused = [world.caller() for _ in range(3)]
+    for each in refused:
+        each.open()
+    assert world.advance(0.2) == []
+    for each in refused:
+        each.open()
+    assert world.advance(0.4) == []
+
+
+def test_a_packet_read_before_the_first_tick_after_a_stall_resets_no_flow():
+    world = FlowWorld(record("s-1"), record("s-2", 2))
+    callers = establish_at(world, {"s-1": 3})["s-1"]
+    for caller in callers:
+        caller.request()
+    world.advance(0.2)
+    for caller in callers:
+        caller.send(size=200, sequence=caller.sequence - 200)
+    world.now += 1.5
+    assert isinstance(callers[0].send(closes=True), Forward)
+
+
+def test_one_burst_of_loss_and_slow_work_reset_no_flow():
+    """Three requests lose their first packet; their copies arrive, and the work takes long."""
+    world = FlowWorld(record("s-1"), record("s-2", 2))
+    callers = establish_at(world, {"s-1": 3, "s-2": 1})
+    world.advance(1.0)
+    for caller in callers["s-1"]:
+        caller.request()
+    world.advance(0.2)
+    for caller in callers["s-1"]:
+        caller.send(size=200, sequence=caller.sequence - 200)
+    world.advance(0.05)
+    callers["s-2"][0].request()
+    world.now += 0.02
+    callers["s-2"][0].receive_answer()
+    assert world.advance(0.45) == []
+
+
+def test_flows_that_moved_away_while_waiting_do_not_load_their_server():
+    world = FlowWorld(record("s-1"))
+    for caller in establish_at(world, {"s-1": 4})["s-1"]:
+        caller.request()
+    world.advance(5.0)
+    assert world.server("s-1").in_progress == 0
+
+
 def test_servers_that_die_together_are_found_by_the_answers_of_another():
     """A rack fails: two of three servers die at once, and the third one still answers."""
     world = FlowWorld(record("s-1"), record("s-2", 2), record("s-3", 3))
-    callers = {}
-    while set(callers) != {"s-1", "s-2", "s-3"} or any(len(v) < 3 for v in callers.values()):
-        caller = world.caller()
-        callers.setdefault(caller.establish().name, []).append(caller)
-    waiting = callers["s-1"][:3] + callers["s-2"][:3]
+    callers = establish_at(world, {"s-1": 3, "s-2": 3, "s-3": 1})
+    waiting = callers["s-1"] + callers["s-2"]
     for caller in waiting:
         caller.request()
     world.advance(0.2)
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -75,6 +75,13 @@
     assert subject.entry_vms.get("front-9").link_mbps == 0.0
 
 
+def test_a_link_that_an_older_build_left_out_is_learnt_later():
+    subject = group(vm(1))
+    update = vm(2).to_update()
+    subject.merge_updates([update, msgspec.structs.replace(update, link_mbps=100.0)])
+    assert subject.entry_vms.get(update.name).link_mbps == 100.0
+
+
 def test_readers_grow_slower_than_the_zone():
     groups = fleet(200)
     reading = sum(isinstance(g.choose_source(NOW), ReadPlatform) for g in groups)
