--- a/tools/measure_restores.py
+++ b/tools/measure_restores.py
@@ -1,5 +1,6 @@
 """Measures drills in which the store is restored from a copy; prints Markdown tables."""
 
+import math
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
@@ -39,7 +40,7 @@
 def find_percentile(values: list[float], share: float) -> float:
     """Returns the nearest-rank percentile."""
     ranked = sorted(values)
-    return ranked[max(0, -int(-share * len(ranked) // 1) - 1)]
+    return ranked[math.ceil(share * len(ranked)) - 1]
 
 
 def describe_times(reports: list[DrillReport]) -> str:
