Followers learn of their reader's outages and wait for entries to return

A follower got only the age of its reader's state. When an entry lapsed as the store went down, the follower had it as unlisted since before the outage, took the absence as confirmed at the reader's first confirmation afterwards, and reset idle flows of a server that may write its entry again.

The state now carries for how long the platform has answered since its last interruption (`reachable`), until that was confirmed for three times relist_seconds. The follower turns it into a time and uses the later of its own and the peer's recovery; it passes on the later one as well.

The same fault elsewhere: between two tries a reader follows a peer, often its own follower, whose state from before the outage counted as a recovery. `mark_unreachable` therefore takes the time, and only a later confirmation counts. One call in tests/test_server_lists.py gets that argument, within the outage that the test plays; its assertions are unchanged.

--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -34,6 +34,8 @@
         age: seconds since the platform confirmed this state; None if no list has been read yet.
         routes: changes of the routes; None if there are none.
         era: era of the revision; left out at 0, since older builds know no eras.
+        reachable: seconds since the platform recovered from its last interruption, 0 while it does
+            not answer; left out if it was never lost or long enough ago, and by older builds.
     """
 
     records: tuple[VmRecord, ...]
@@ -43,6 +45,7 @@
     age: Annotated[float, Meta(ge=0)] | None
     routes: RouteChanges | None = None
     era: Annotated[int, Meta(ge=0)] = 0
+    reachable: Annotated[float, Meta(ge=0)] | None = None
 
 
 class _KnownVersions(msgspec.Struct, frozen=True):
@@ -122,6 +125,7 @@
         # gets a snapshot.
         changes = balancer.server_list.changes_since(StateVersion(known.era or 0, known.revision))
         confirmed_at = balancer.server_list.confirmed_at
+        recovered_at = balancer.server_list.recovered_at
         return PublishedState(
             tuple(_shift_warm_at(record, -now) for record in changes.records),
             changes.removed,
@@ -130,6 +134,7 @@
             now - confirmed_at if balancer.server_list.loaded else None,
             balancer.route_history.changes_since(known.routes_version, known.routes_era),
             changes.version.era,
+            None if recovered_at is None else max(0.0, now - recovered_at),
         )
 
 
@@ -173,7 +178,8 @@
     records = tuple(_shift_warm_at(record, now) for record in state.records)
     version = StateVersion(state.era, state.revision)
     if server_list.apply(ListChanges(records, state.removed, state.whole, version), now):
-        server_list.confirm(now - state.age)
+        recovered_at = float("-inf") if state.reachable is None else now - state.reachable
+        server_list.confirm(now - state.age, recovered_at)
     return state.era == server_list.version.era
 
 
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -30,6 +30,9 @@
 
 # Removals kept for followers that are behind; a follower further behind gets a snapshot.
 MAX_REMOVALS = 1024
+# Followers hear of a recovery until it was confirmed for this many times `relist_seconds`. By then
+# it no longer decides anything, also where `relist_seconds` is set somewhat longer.
+PUBLISHED_RELIST_TIMES = 3
 
 
 class RemovedServer(msgspec.Struct, frozen=True):
@@ -75,7 +78,9 @@
         self.labels = LabelIndex()
         self.version = NOTHING_READ
         self.confirmed_at = float("-inf")
+        self._lost_at = float("-inf")
         self._reachable_since = float("inf")
+        self._peer_recovered_at = float("-inf")
         self._era_began_at = float("-inf")
 
     @property
@@ -83,6 +88,20 @@
         """Whether a list has been read at least once."""
         return self.version > NOTHING_READ
 
+    @property
+    def recovered_at(self) -> float | None:
+        """When the platform last recovered here or at a peer, as far as it matters.
+
+        Infinity while it does not answer; None if it was never lost or has been confirmed for long
+        since.
+        """
+        own = self._reachable_since if self._lost_at > float("-inf") else float("-inf")
+        recovered_at = max(own, self._peer_recovered_at)
+        published_until = recovered_at + PUBLISHED_RELIST_TIMES * self._settings.relist_seconds
+        if recovered_at == float("-inf") or self.confirmed_at >= published_until:
+            return None
+        return recovered_at
+
     def changes_since(self, version: StateVersion) -> ListChanges:
         """Returns the delta from a follower's version, or a snapshot.
 
@@ -275,13 +294,26 @@
             oldest = next(iter(self._removed))
             self._removals_known_since = max(self._removals_known_since, self._removed.pop(oldest))
 
-    def confirm(self, confirmed_at: float) -> None:
-        """Records that the list matched the platform's at a time on the monotonic clock."""
+    def confirm(self, confirmed_at: float, recovered_at: float = float("-inf")) -> None:
+        """Records that the list matched the platform's at a time on the monotonic clock.
+
+        A confirmation from before the last failed read here, which a peer may pass on during an
+        outage, does not show that the platform answers again.
+
+        Args:
+            confirmed_at: time of the confirmation.
+            recovered_at: when the peer that passes it on had the platform again after an
+                interruption.
+        """
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        self._reachable_since = min(self._reachable_since, max(confirmed_at, self._era_began_at))
+        self._peer_recovered_at = max(self._peer_recovered_at, recovered_at)
+        if confirmed_at > self._lost_at:
+            reachable_since = max(confirmed_at, self._era_began_at)
+            self._reachable_since = min(self._reachable_since, reachable_since)
 
-    def mark_unreachable(self) -> None:
+    def mark_unreachable(self, now: float) -> None:
         """Records that the platform does not answer, so that missing entries prove nothing."""
+        self._lost_at = now
         self._reachable_since = float("inf")
 
     def absence_confirmed(self, since: float) -> bool:
@@ -290,11 +322,11 @@
         The same holds for an entry that a restored copy has and that stays.
 
         The confirmation must come `relist_seconds` after `since` and after the platform's last
-        recovery, which gives entries that expired during an outage the time to be written again.
+        recovery, here or at a peer whose state was used, which gives entries that expired during an
+        outage the time to be written again.
         """
-        return (
-            self.confirmed_at - max(since, self._reachable_since) >= self._settings.relist_seconds
-        )
+        began_at = max(since, self._reachable_since, self._peer_recovered_at)
+        return self.confirmed_at - began_at >= self._settings.relist_seconds
 
     def expire(self, now: float) -> None:
         """Acts on confirmed entries and absences, and forgets servers `forget_seconds` later."""
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -185,7 +185,7 @@
 
     def _read_store(self) -> None:
         if self._store_access_denied or self._catalogue.down:
-            self.balancer.server_list.mark_unreachable()
+            self.balancer.server_list.mark_unreachable(self._host.now)
             return
         server_list = self.balancer.server_list
         server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -84,7 +84,7 @@
                     self._publisher.notify()
                     await asyncio.sleep(self._settings.reads.settle_seconds)
             case Err(error):
-                self._balancer.server_list.mark_unreachable()
+                self._balancer.server_list.mark_unreachable(time.monotonic())
                 if not failures:
                     log_event(logger, LogEvent.PLATFORM_UNREACHABLE, error=error)
 
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -8,6 +8,7 @@
 from random import Random
 
 import msgspec
+import pytest
 
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.http_services import HttpRequest, HttpResponse
@@ -39,6 +40,12 @@
     routes: OldRouteChanges | None = None
 
 
+class StateWithoutRecovery(OldState, frozen=True, omit_defaults=True):
+    """A state of the builds that know eras but no recoveries."""
+
+    era: int = 0
+
+
 def make_vm(*records, revision=100, era=0):
     """An entry VM of this build whose list is of an era."""
     vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
@@ -117,6 +124,37 @@
     assert follower.server_list.version == StateVersion(0, 100)
 
 
+@pytest.mark.parametrize("kind", [OldState, StateWithoutRecovery])
+def test_an_older_reader_confirms_absences_as_before(kind):
+    """It cannot tell of an outage; its follower still retires servers that stay missing."""
+    follower = FlowWorld(record("s-1"), record("s-2", 2))
+    removed = kind((), (("s-1", 101),), False, 101, 0.0)
+    unchanged = kind((), (), False, 101, 0.0)
+    for state, gone in [(removed, False), (unchanged, True)]:
+        body = msgspec.json.encode(state)
+        assert apply_state(decode_state(body).unwrap(), follower.balancer, follower.now)
+        assert follower.balancer.server_list.recovered_at is None
+        follower.advance(0.1)
+        assert follower.server("s-1").gone == gone
+        follower.advance(SETTINGS.servers.relist_seconds)
+
+
+@pytest.mark.parametrize("kind", [OldState, StateWithoutRecovery])
+def test_an_older_follower_understands_a_state_after_an_outage(kind):
+    async def scenario():
+        vm = make_vm(record("s-1"), record("s-2", 99))
+        server_list = vm.balancer.server_list
+        now = time.monotonic()
+        server_list.mark_unreachable(now - 1.0)
+        server_list.confirm(now)
+        body = await ask(vm, "after=50&routes=0&wait=0")
+        assert decode_state(body).unwrap().reachable is not None
+        state = msgspec.json.decode(body, type=kind)
+        assert (state.revision, state.whole, len(state.records)) == (100, True, 2)
+
+    asyncio.run(scenario())
+
+
 def test_a_follower_of_a_new_era_avoids_an_old_reader_whatever_its_revision():
     async def scenario():
         leader = FlowWorld(record("s-1"))
--- a/tests/test_restore_borders.py
+++ b/tests/test_restore_borders.py
@@ -197,7 +197,9 @@
 
 
 @given(
-    st.sampled_from(["era", "revision", "whole", "records", "removed", "age"]), JUNK, st.booleans()
+    st.sampled_from(["era", "revision", "whole", "records", "removed", "age", "reachable"]),
+    JUNK,
+    st.booleans(),
 )
 def test_a_state_with_an_invalid_field_is_rejected_and_its_sender_avoided(field, junk, newer):
     state = PublishedState((record("s-3", 110),), (), True, 110, 0.0, era=ERA + newer)
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -24,7 +24,7 @@
 def test_servers_survive_the_expiry_of_their_entries_during_a_store_outage():
     """A store is down for 6 s while the leases of entries expire, and is back at 10 s."""
     subject = make_list(record("s-1"))
-    subject.mark_unreachable()
+    subject.mark_unreachable(START + 4.0)
     subject.apply(removal("s-1", 101), START + 9.0)
     subject.expire(START + 9.9)
     assert not subject.servers.get("s-1").gone
