Known red: a reader that alone is cut off does not retire servers, nor do its followers

A reader whose own tries fail while a peer has the platform starts relist_seconds again at each try, at most a second apart, so that it confirms no absence until it reaches the platform itself. New flows avoid such servers, and requests that a silent one leaves unanswered still reset their flow.

A way out, not tried: a loss that a peer's later confirmation bridges does not count as an outage.

--- a/tests/test_followed_outages.py
+++ b/tests/test_followed_outages.py
@@ -16,7 +16,7 @@
 from marjoramford.packets import Forward
 from marjoramford.published_states import StatePublisher, apply_state, decode_state
 
-from .flow_worlds import START, FlowWorld, record, removal, upsert
+from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, upsert
 
 RELIST_SECONDS = ListSettings().relist_seconds
 OUTAGE_SECONDS = 3.0
@@ -197,3 +197,23 @@
     other.confirm()
     zone.follow(follower, other)
     assert follower.balancer.server_list.recovered_at == pytest.approx(recovered_at + 1.0)
+
+
+@pytest.mark.parametrize("name", ["reader", "follower"])
+def test_a_reader_that_alone_is_cut_off_retires_servers_in_time_through_a_peer(monkeypatch, name):
+    """The peer has the platform all the time; the reader fails at each of its own tries."""
+    zone = Zone(monkeypatch, 3)
+    reader, follower, peer = zone.vms
+    peers = SETTINGS.peers
+    seconds_to_removal, bound = 2.0, RELIST_SECONDS + peers.max_retry_seconds
+    for tenth in range(round((seconds_to_removal + bound) * 10)):
+        if tenth == round(seconds_to_removal * 10):
+            peer.apply(removal("s-1", 101))
+        peer.confirm()
+        if tenth % round(peers.max_retry_seconds * 10) == 0:
+            zone.lose()
+        else:
+            zone.follow(reader, peer)
+        zone.follow(follower, reader)
+        zone.advance(0.1)
+    assert {"reader": reader, "follower": follower}[name].server("s-1").gone
