--- a/tools/measure_restore_losses.py
+++ b/tools/measure_restore_losses.py
@@ -1,6 +1,6 @@
 """Compares requests lost while the store is restored from a copy with those of a plain outage.
 
-Prints a Markdown table: ``python tools/measure_restore_losses.py > docs/measurements/restore-losses.md``.
+Prints a page: ``python tools/measure_restore_losses.py > docs/measurements/restore-losses.md``.
 """
 
 import sys
