--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -21,7 +21,7 @@
 from .flow_settings import PacketVmSettings
 from .latencies import LatencyHistogram
 from .logs import LogEvent, log_event
-from .overload_controls import OverloadControl
+from .overload_controls import OverloadControl, are_slots_taken
 from .packet_flows import PacketFlow, PacketFlowTable
 from .packets import DropPacket, FlowKey, Forward, PacketAction, PacketHeader, ResetFlow
 from .placements import choose_server
@@ -186,14 +186,17 @@
         control = self._overload_controls.get(service)
         if control is None or not control.refuses(route, now, self._random):
             return False
+        # Judged again for each flow: slots may have become free since the last tick.
+        return self._are_slots_taken(service)
+
+    def _are_slots_taken(self, service: str) -> bool:
         servers = self.server_list.servers.of_service(service)
-        return control.proves_slots_taken(servers, self.entry_vm_count)
+        return are_slots_taken(servers, self.entry_vm_count, self._settings.overload.queued_share)
 
     def _update_overload_controls(self, now: float) -> None:
         for service, control in self._overload_controls.items():
             was_refusing = control.level > 0
-            servers = self.server_list.servers.of_service(service)
-            control.update(servers, self.entry_vm_count, now)
+            control.update(self._are_slots_taken(service), now)
             if was_refusing != (control.level > 0):
                 log_overload(service, control)
 
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -88,10 +88,6 @@
         min_answers: fewer recent answers prove no overload.
         queued_share: waiting requests without which nothing is refused, as a share of the slots;
             the requests of all entry VMs are extrapolated from those of this one.
-        doubt_deviations: nothing is refused unless this estimate, less this many of its standard
-            deviations, still exceeds the slots.
-        averaging_seconds: time constant of the moving average of the requests in progress through
-            this entry VM, in seconds; about the time of an answer under overload.
         error_gain: change of the refusal level at each tick, for an answer time that is one target
             latency too long.
         trend_gain: the same for an answer time that has grown by one target latency since the last
@@ -106,8 +102,6 @@
     window_seconds: Seconds = 2.0
     min_answers: Annotated[int, Meta(ge=1, le=10_000)] = 5
     queued_share: Share = 0.5
-    doubt_deviations: Share = 1.4
-    averaging_seconds: Seconds = 0.3
     error_gain: Share = 0.2
     trend_gain: Share = 1.0
     max_level: Share = 1.5
--- a/marjoramford/overload_controls.py
+++ b/marjoramford/overload_controls.py
@@ -6,17 +6,12 @@
 because an open flow must not be reset while its server lives. New flows are refused instead, those
 of the least important routes first, at the rate that keeps answers near the target latency.
 
-An entry VM sees only the requests on its own flows. Extrapolated to all entry VMs, the three
-requests that happen to wait at one of them look like full slots while most servers are idle. A flow
-is therefore refused only if the lower bound of the estimate still exceeds the slots.
-
 The evidence is the time until callers acknowledge answers. A full server turns requests away at
 once, so quick answers prove nothing: the slowest of the latest answers of each server counts. The
 median over the servers is taken, so that a few slow servers are no overload. Slow answers of a
 service whose slots are free are no overload either.
 """
 
-import math
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterable
 from random import Random
@@ -99,41 +94,6 @@
         self._priorities = {a: p for a, p in self._priorities.items() if a in self._previous}
 
 
-class OccupancyEstimate:
-    """Estimates the requests in progress of all entry VMs from those of this one.
-
-    The fabric spreads flows evenly, so the own requests are a random sample of all. A moving
-    average over about the time of an answer counts as a second sample.
-
-    Args:
-        averaging_seconds: time constant of the moving average.
-    """
-
-    def __init__(self, averaging_seconds: float):
-        self._averaging_seconds = averaging_seconds
-        self._average = 0.0
-        self._updated_at = float("-inf")
-
-    def record(self, in_progress: int, now: float) -> None:
-        """Records the present number of own requests in progress."""
-        weight = 1 - math.exp((self._updated_at - now) / self._averaging_seconds)
-        self._average += weight * (in_progress - self._average)
-        self._updated_at = now
-
-    def lower_bound(self, in_progress: int, entry_vms: int, deviations: float) -> float:
-        """Returns the requests that are in progress at all entry VMs at least.
-
-        Args:
-            in_progress: the present number of own requests.
-            entry_vms: entry VMs that share the load, with this one.
-            deviations: standard deviations of the estimate below its mean.
-        """
-        mean = (in_progress + self._average) / 2
-        # Each request passes through this entry VM with the probability 1 / entry_vms.
-        variance = mean / 2 * (1 - 1 / entry_vms)
-        return (mean - deviations * math.sqrt(variance)) * entry_vms
-
-
 class OverloadControl:
     """Decides which new flows of one service are refused, for one entry VM.
 
@@ -147,7 +107,6 @@
         self._settings = settings
         self._answers: defaultdict[str, deque[Answer]] = defaultdict(_make_latest_answers)
         self._activity = RouteActivity(settings.activity_seconds)
-        self._occupancy = OccupancyEstimate(settings.averaging_seconds)
         self._latency_share = 0.0
         self._level = 0.0
 
@@ -170,18 +129,14 @@
         """Discards the recent answers, after this process was stalled."""
         self._answers.clear()
 
-    def update(self, servers: Iterable[BackendServer], entry_vms: int, now: float) -> None:
+    def update(self, slots_taken: bool, now: float) -> None:
         """Moves the refusal level; must be called several times a second.
 
         Args:
-            servers: the servers of the service.
-            entry_vms: entry VMs that share the load, with this one.
+            slots_taken: whether the slots of the service are taken, see `are_slots_taken`.
             now: time on the monotonic clock, in seconds.
         """
         settings = self._settings
-        load = measure_load(servers)
-        self._occupancy.record(load.in_progress, now)
-        slots_taken = load.are_slots_taken(entry_vms, settings.queued_share)
         self._expire_answers(now - settings.window_seconds)
         latency_share = self._measure_latency_share()
         if latency_share >= settings.target_share and not slots_taken:
@@ -193,26 +148,13 @@
         self._level = min(max(0.0, level), settings.max_level)
 
     def refuses(self, route: Route, now: float, random: Random) -> bool:
-        """Returns whether a new flow of a route is refused if `proves_slots_taken` holds."""
+        """Returns whether a new flow of a route is refused while the slots are taken."""
         settings = self._settings
         if not self._level or self._activity.count(route, now) < settings.min_route_answers:
             return False
         rank = self._activity.count_less_important(route, settings.min_route_answers, now)
         return random.random() < self._level - rank
 
-    def proves_slots_taken(self, servers: Iterable[BackendServer], entry_vms: int) -> bool:
-        """Returns whether the slots are taken now, even by the lower bound of the estimate.
-
-        The refusal level moves at ticks only; slots may have become free since the last one.
-        """
-        settings = self._settings
-        load = measure_load(servers)
-        if not load.are_slots_taken(entry_vms, settings.queued_share):
-            return False
-        deviations = settings.doubt_deviations
-        lower_bound = self._occupancy.lower_bound(load.in_progress, entry_vms, deviations)
-        return lower_bound > load.slots
-
     def _expire_answers(self, since: float) -> None:
         for server, answers in list(self._answers.items()):
             while answers and answers[0].at < since:
@@ -229,32 +171,16 @@
         return slowest[len(slowest) // 2]
 
 
-class ServiceLoad(msgspec.Struct, frozen=True):
-    """Load of the listed servers of one service.
-
-    Attributes:
-        in_progress: requests in progress through this entry VM.
-        slots: slots of all these servers.
-    """
-
-    in_progress: int
-    slots: int
-
-    def are_slots_taken(self, entry_vms: int, queued_share: float) -> bool:
-        """Returns whether the slots are probably taken and requests wait for them.
-
-        The requests of all entry VMs are extrapolated from those in progress through this one.
+def are_slots_taken(servers: Iterable[BackendServer], entry_vms: int, queued_share: float) -> bool:
+    """Returns whether the slots of a service are taken and requests wait for them.
 
-        Args:
-            entry_vms: entry VMs that share the load, with this one.
-            queued_share: waiting requests that are required, as a share of the slots.
-        """
-        return self.in_progress * entry_vms > (1 + queued_share) * self.slots
+    The requests of all entry VMs are extrapolated from those in progress through this one.
 
-
-def measure_load(servers: Iterable[BackendServer]) -> ServiceLoad:
-    """Returns the load of those of the servers that are listed."""
+    Args:
+        servers: the servers of the service.
+        entry_vms: entry VMs that share the load, with this one.
+        queued_share: waiting requests that are required, as a share of the slots.
+    """
     listed = [server for server in servers if server.unlisted_since is None]
-    return ServiceLoad(
-        sum(server.in_progress for server in listed), sum(server.slots for server in listed)
-    )
+    in_progress = sum(server.in_progress for server in listed) * entry_vms
+    return in_progress > (1 + queued_share) * sum(server.slots for server in listed)
