Open flows are forwarded at a start before the routes are read

Open flows need their server only, not the routes.

Change: a start reads the servers' entries first, forwards packets of open flows by their label, then reads the operator's entries. A preload that fails counts as a failed read. If the store is restored in between, everything is read again.

One more call to the store a start. Ruled out: the start of the process itself, which took as long as before.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -133,7 +133,7 @@
     def handle_packet(self, header: PacketHeader, now: float) -> PacketAction:
         """Returns the action for a caller's packet and updates the state of its flow."""
         if self._routes is None:
-            action = self._drop("no routes yet")
+            action = self._forward_before_routes(header)
         elif header.opens:
             action = self._open_flow(header, now)
         else:
@@ -141,6 +141,17 @@
         self.counters[type(action).__name__] += 1
         return action
 
+    def _forward_before_routes(self, header: PacketHeader) -> PacketAction:
+        """Forwards a packet of an open flow by its label alone.
+
+        Load pattern: all entry VMs lose power at once. A large table of routes then takes longer to
+        read than callers wait between two retransmissions.
+        """
+        server = None if header.opens else self.server_list.find_label(header.label)
+        if server is None:
+            return self._drop("no routes yet")
+        return Forward(server, header.label)
+
     def tick(self, now: float) -> list[FlowReset]:
         """Applies timeouts and returns the resets to send; must be called several times a second.
 
--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -20,6 +20,7 @@
 from .packets import server_number
 
 SERVER_PREFIX = "servers/"
+OPERATOR_PREFIX = "op/"
 ROUTES_KEY = "op/config"
 # Far above any real weight; keeps sums of weights finite.
 MAX_WEIGHT = 1e9
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -19,7 +19,14 @@
 from ..records import VmRecord
 from ..server_lists import ListChanges
 from ..state_versions import StateVersion
-from .entries import ROUTES_KEY, SERVER_PREFIX, StoreItem, decode_routes, decode_server
+from .entries import (
+    OPERATOR_PREFIX,
+    ROUTES_KEY,
+    SERVER_PREFIX,
+    StoreItem,
+    decode_routes,
+    decode_server,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +44,20 @@
     has_more: bool = False
 
 
+class _Items(msgspec.Struct, frozen=True):
+    """Entries read in pages, and the store's revision at the first page."""
+
+    items: list[msgspec.Raw]
+    revision: int
+
+
+class _Preload(msgspec.Struct, frozen=True):
+    """The servers' entries and when they were asked for, on the monotonic clock in seconds."""
+
+    servers: _Items
+    asked_at: float
+
+
 class _Changes(msgspec.Struct, frozen=True):
     events: tuple[msgspec.Raw, ...]
     as_of: int
@@ -54,6 +75,7 @@
         self._balancer = balancer
         self._client = HttpClient(Address.parse(settings.platform), Step.READ_PLATFORM)
         self._cursor = ReadCursor()
+        self._preloaded: _Preload | None = None
 
     async def read(self, wait: float) -> Result[bool, StepError]:
         """Updates routes and servers, waiting up to `wait` seconds for a change.
@@ -83,14 +105,59 @@
                     return result
         return self._fail(f"restored {MAX_WHOLE_READS} times during one read")
 
+    async def preload(self) -> Result[None, StepError]:
+        """Reads the servers alone, so that packets of open flows can be forwarded.
+
+        The first read then needs only the operator's entries, which are larger where there are many
+        routes.
+        """
+        asked_at = time.monotonic()
+        match await self._read_prefix(SERVER_PREFIX, AnswerKind.FIRST_PAGE):
+            case Ok(_Items() as servers):
+                self._preloaded = _Preload(servers, asked_at)
+                self._preload_list(servers.items)
+                return Ok(None)
+            case Ok():
+                return self._fail("restored during the first read")
+            case error:
+                return error
+
+    def _preload_list(self, raw_items: Iterable[msgspec.Raw]) -> None:
+        now = time.monotonic()
+        decoded = (decode_json(raw, StoreItem) for raw in raw_items)
+        # Entries that cannot be read are logged when all entries are applied.
+        records = (decode_server(item.ok_value, now) for item in decoded if item.is_ok())
+        self._balancer.server_list.preload(r.ok_value for r in records if r.is_ok())
+
     async def _read_pages(self) -> Result[bool | ReadEverything, StepError]:
+        preload, self._preloaded = self._preloaded, None
+        if preload is None:
+            preload = _Preload(_Items([], 0), time.monotonic())
+            read = await self._read_prefix("", AnswerKind.FIRST_PAGE)
+        else:
+            read = await self._read_prefix(OPERATOR_PREFIX, AnswerKind.NEXT_PAGE)
+        match read:
+            case Ok(_Items() as rest):
+                items = preload.servers.items + rest.items
+                revision = preload.servers.revision or rest.revision
+                return self._apply(items, True, revision, preload.asked_at).map(lambda _: True)
+            case result:
+                return result
+
+    async def _read_prefix(
+        self, prefix: str, kind: AnswerKind
+    ) -> Result["_Items | ReadEverything", StepError]:
+        """Reads the entries whose keys begin with a prefix, in pages.
+
+        Args:
+            prefix: prefix of the keys; empty for all entries.
+            kind: kind of the first page, `NEXT_PAGE` if it continues an earlier read.
+        """
         after = ""
         items: list[msgspec.Raw] = []
         revision = 0
-        asked_at = time.monotonic()
         while True:
-            query = f"prefix=&after={quote(after)}" if after else "prefix="
-            kind = AnswerKind.NEXT_PAGE if after else AnswerKind.FIRST_PAGE
+            query = f"prefix={quote(prefix)}" + (f"&after={quote(after)}" if after else "")
             reply = await self._get(f"/v1/kv-range?{query}", _Page, kind, self._timeout)
             if reply.is_err() or isinstance(reply.ok_value, ReadEverything):
                 return reply
@@ -100,9 +167,9 @@
             revision = revision or page.as_of
             items.extend(page.items)
             if not page.has_more or not page.items:
-                break
+                return Ok(_Items(items, revision))
             after = msgspec.json.decode(page.items[-1], type=StoreItem).key
-        return self._apply(items, True, revision, asked_at).map(lambda _: True)
+            kind = AnswerKind.NEXT_PAGE
 
     async def _watch(self, wait: float) -> Result[bool | ReadEverything, StepError]:
         watched = self._cursor.version.revision
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -15,6 +15,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 
 import msgspec
 
@@ -74,6 +75,8 @@
         self._gone: list[RemovedServer] = []
         # Entries of a restored copy whose servers had left the list before.
         self._awaiting: dict[str, VmRecord] = {}
+        # Servers by label until the first list is complete.
+        self._preloaded = LabelIndex()
         self.servers = BackendServers()
         self.labels = LabelIndex()
         self.version = NOTHING_READ
@@ -102,6 +105,24 @@
             return None
         return recovered_at
 
+    def preload(self, records: Iterable[VmRecord]) -> None:
+        """Makes servers known by label while the first list is still being read.
+
+        Open flows are forwarded to them meanwhile; no flow is placed there.
+        """
+        if self.loaded:
+            return
+        servers = BackendServers()
+        for record in records:
+            servers.apply_record(record)
+        self._preloaded = LabelIndex()
+        for server in servers.values():
+            self._preloaded.add(server)
+
+    def find_label(self, label: int) -> BackendServer | None:
+        """Returns the server with a label, listed or preloaded, or None."""
+        return self.labels.find(label) or self._preloaded.find(label)
+
     def changes_since(self, version: StateVersion) -> ListChanges:
         """Returns the delta from a follower's version, or a snapshot.
 
@@ -124,6 +145,7 @@
         """
         if changes.version < self.version:
             return False
+        self._preloaded = LabelIndex()
         if changes.version.era > self.version.era:
             if not changes.whole:
                 return False
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -36,6 +36,9 @@
             Whether anything changed; always true if everything was loaded.
         """
 
+    async def preload(self) -> Result[None, StepError]:
+        """Reads the servers alone, before the first read, so that open flows can be forwarded."""
+
 
 class StateReader:
     """Keeps the balancer's state up to date from the source that the group chooses.
@@ -62,6 +65,9 @@
 
     async def run(self) -> None:
         """Reads in a loop until cancelled."""
+        match await self._platform.preload():
+            case Err(error):
+                self._record_platform_failure(error)
         while True:
             now = time.monotonic()
             match self._group.choose_source(now):
@@ -74,19 +80,23 @@
 
     async def _read_platform(self, wait: float) -> None:
         result = await self._platform.read(wait)
-        failures = self._group.platform_failures
-        self._group.record_platform_read(result.is_ok(), time.monotonic())
         match result:
             case Ok(changed):
+                failures = self._group.platform_failures
+                self._group.record_platform_read(True, time.monotonic())
                 if failures:
                     log_event(logger, LogEvent.PLATFORM_BACK, failures=failures)
                 if changed:
                     self._publisher.notify()
                     await asyncio.sleep(self._settings.reads.settle_seconds)
             case Err(error):
-                self._balancer.server_list.mark_unreachable(time.monotonic())
-                if not failures:
-                    log_event(logger, LogEvent.PLATFORM_UNREACHABLE, error=error)
+                self._record_platform_failure(error)
+
+    def _record_platform_failure(self, error: StepError) -> None:
+        if not self._group.platform_failures:
+            log_event(logger, LogEvent.PLATFORM_UNREACHABLE, error=error)
+        self._group.record_platform_read(False, time.monotonic())
+        self._balancer.server_list.mark_unreachable(time.monotonic())
 
     async def _follow(self, address: Address, wait: float) -> None:
         if address != self._followed_address or self._client is None:
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,129 @@
+"""Open flows while an entry VM starts.
+
+Load pattern: all entry VMs lose power at once, and callers retransmit on their open flows. Reading
+the routes may take longer than a caller waits between two retransmissions.
+"""
+
+import asyncio
+from base64 import b64encode
+from random import Random
+
+import msgspec
+from result import Err, Ok
+
+from marjoramford.errors import Step, StepError
+from marjoramford.flow_balancers import FlowBalancer
+from marjoramford.flow_labels import derive_label
+from marjoramford.http_calls import HttpReply
+from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader
+from marjoramford.platform.stores import StoreReader
+from marjoramford.published_states import StatePublisher
+from marjoramford.state_readers import StateReader
+
+from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, record, snapshot
+from .test_platform_borders import own_group
+
+FLOW = FlowKey(0x64400007, 1001, ROUTE_IP, ROUTE_PORT)
+ENTRY = {"service": "booking", "address": "127.0.0.9:7", "zone": "a", "state": "ready", "slots": 2}
+
+
+def packet(label, opens=False):
+    return PacketHeader(FLOW, label, opens, False, False, 5001, 9000, 100)
+
+
+def item(key, value, revision):
+    return {"key": key, "value": b64encode(value).decode(), "revision": revision}
+
+
+class SlowStore:
+    """Answers reads of the servers at once, and reads of the operator's entries only when told."""
+
+    def __init__(self):
+        self.targets = []
+        self.operator_may_answer = asyncio.Event()
+
+    async def get(self, target, _timeout):
+        self.targets.append(target)
+        if "servers/" in target:
+            servers = [
+                item("servers/s-1", msgspec.json.encode(ENTRY), 3),
+                item("servers/x", b"{", 4),
+            ]
+            return Ok(HttpReply(200, self.page(servers)))
+        await self.operator_may_answer.wait()
+        config = msgspec.json.encode({"version": 1, "routes": []})
+        return Ok(HttpReply(200, self.page([item("op/config", config, 2)])))
+
+    def page(self, items):
+        return msgspec.json.encode({"items": items, "as_of": 5, "has_more": False})
+
+
+def test_open_flows_are_forwarded_while_the_routes_are_still_read():
+    async def scenario():
+        balancer = FlowBalancer(SETTINGS, Random(1), START)
+        reader = StoreReader(SETTINGS, balancer)
+        reader._client = store = SlowStore()
+        assert (await reader.preload()).is_ok()
+        reading = asyncio.create_task(reader.read(0.0))
+        while len(store.targets) < 2:
+            await asyncio.sleep(0)
+        label = derive_label("s-1", 0)
+        assert isinstance(balancer.handle_packet(packet(label), START), Forward)
+        assert balancer.handle_packet(packet(0, opens=True), START) == DropPacket("no routes yet")
+        assert not balancer.ready
+        store.operator_may_answer.set()
+        assert (await reading).is_ok()
+        assert balancer.ready
+
+    asyncio.run(scenario())
+
+
+def test_preloaded_servers_are_forgotten_once_the_list_is_complete():
+    """A server that left between the two reads must not stay known by its label."""
+    balancer = FlowBalancer(SETTINGS, Random(1), START)
+    balancer.server_list.preload([record("s-1"), record("s-2")])
+    balancer.server_list.apply(snapshot(record("s-2")), START)
+    assert balancer.server_list.find_label(derive_label("s-1", 0)) is None
+    assert balancer.server_list.find_label(derive_label("s-2", 0)) is not None
+
+
+def test_a_store_that_is_restored_after_the_preload_is_read_as_a_whole():
+    """Entries of two eras must not be joined to one list."""
+
+    class RestoredStore(SlowStore):
+        async def get(self, target, timeout):
+            if "servers/" in target or target.endswith("prefix="):
+                era = "2" if target.endswith("prefix=") else "1"
+                name = f"servers/s-{era}"
+                page = self.page([item(name, msgspec.json.encode(ENTRY), 3)])
+                return Ok(HttpReply(200, page, {"store-era": era}))
+            return Ok(HttpReply(200, self.page([]), {"store-era": "2"}))
+
+    async def scenario():
+        balancer = FlowBalancer(SETTINGS, Random(1), START)
+        reader = StoreReader(SETTINGS, balancer)
+        reader._client = RestoredStore()
+        assert (await reader.preload()).is_ok()
+        assert (await reader.read(0.0)).is_ok()
+        assert [server.name for server in balancer.server_list.servers.values()] == ["s-2"]
+
+    asyncio.run(scenario())
+
+
+def test_a_store_that_does_not_answer_the_preload_counts_as_one_failed_read():
+    """Otherwise a start beside a silent store waits for two timeouts before it asks a peer."""
+
+    class SilentPlatform:
+        async def preload(self):
+            return Err(StepError(Step.READ_PLATFORM, "store", "timeout"))
+
+    async def scenario():
+        balancer = FlowBalancer(SETTINGS, Random(1), START)
+        group = own_group()
+        reader = StateReader(SETTINGS, balancer, group, SilentPlatform(), StatePublisher(balancer))
+        running = asyncio.create_task(reader.run())
+        await asyncio.sleep(0)
+        running.cancel()
+        assert group.platform_failures == 1
+
+    asyncio.run(scenario())
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -224,6 +224,9 @@
         client = HttpClient(Address(HOST, 1), Step.READ_PLATFORM)
         return await client.get("/", 1.0)
 
+    async def preload(self):
+        return await self.read(0.0)
+
 
 def test_a_start_during_a_platform_outage_gets_its_state_from_a_seed():
     async def scenario():
