State of zone drains in the list of servers

Cause: an operator drains an availability zone, and late or old news must not start the drain again or end it. Change: ZoneDrains keeps the last change of each zone and alone decides which is newer; ServerList owns it, covers it by its version and sets zone_drained on servers, which then accept no work. Drains that are known only in part are not passed on to followers.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -105,6 +105,8 @@
         separable: whether the label of its flows is used by no other server.
         unverified: whether it was gone before the platform was restored from a copy that lists it;
             its flows continue, but only a later entry or time shows that it runs.
+        zone_drained: whether its zone is drained, so that no new flow opens here; set only for
+            opaque flows.
     """
 
     name: str
@@ -132,13 +134,15 @@
     unlisted_since: float | None = None
     separable: bool = True
     unverified: bool = False
+    zone_drained: bool = False
     responsiveness: Responsiveness = msgspec.field(default_factory=Responsiveness)
     _in_progress_history: deque[tuple[float, int]] = msgspec.field(default_factory=_make_history)
 
     @property
     def accepts_work(self) -> bool:
         """Whether it may receive new requests or flows, regardless of its load and ejection."""
-        return self.separable and not (self.leaving or self.gone or self.unverified)
+        excluded = self.leaving or self.gone or self.unverified or self.zone_drained
+        return self.separable and not excluded
 
     def is_open(self, now: float) -> bool:
         """Returns whether another request may be dispatched to it now."""
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -25,6 +25,7 @@
 from .logs import LogEvent, log_event
 from .records import VmRecord
 from .state_versions import NOTHING_READ, StateVersion
+from .zone_drains import ZoneDrain, ZoneDrains
 
 logger = logging.getLogger(__name__)
 
@@ -48,14 +49,17 @@
     Attributes:
         records: entries that were written.
         removed: names of removed entries, each with the revision of its removal.
-        whole: whether this is a snapshot, so that entries missing from `records` are removed.
+        whole: whether this is a snapshot, so that entries missing from `records` are removed and
+            zones missing from `drains` are not drained.
         version: version of the list once these changes are applied.
+        drains: drains of zones that began or ended; None if the sender does not know them.
     """
 
     records: tuple[VmRecord, ...]
     removed: tuple[tuple[str, int], ...]
     whole: bool
     version: StateVersion
+    drains: tuple[ZoneDrain, ...] | None = ()
 
 
 class ServerList:
@@ -63,6 +67,9 @@
 
     Changes may be duplicated, delayed and come from several sources, so an entry is only ever
     replaced by one with a higher revision of the same era, or by the snapshot of a newer era.
+
+    Attributes:
+        drains: the drains of zones, which the version covers too.
     """
 
     def __init__(self, settings: ListSettings):
@@ -76,6 +83,7 @@
         self._awaiting: dict[str, VmRecord] = {}
         self.servers = BackendServers()
         self.labels = LabelIndex()
+        self.drains = ZoneDrains()
         self.version = NOTHING_READ
         self.confirmed_at = float("-inf")
         self._lost_at = float("-inf")
@@ -88,6 +96,19 @@
         """Whether a list has been read at least once."""
         return self.version > NOTHING_READ
 
+    @property
+    def known_version(self) -> StateVersion:
+        """The version up to which both the entries and the drains are known.
+
+        It is below `version` while the drains are missing from the state of an older build.
+        """
+        return min(self.version, self.drains.version)
+
+    @property
+    def are_drains_current(self) -> bool:
+        """Whether the drains are known as of `version`."""
+        return self.drains.version == self.version
+
     @property
     def recovered_at(self) -> float | None:
         """When the platform last recovered here or at a peer, as far as it matters.
@@ -106,15 +127,22 @@
         """Returns the delta from a follower's version, or a snapshot.
 
         A snapshot is returned if removals since that version are not known, or if the follower's
-        version is of another era or ahead of this list.
+        version is of another era or ahead of this list. Drains are not passed on while they are
+        known only in part.
         """
         revision = version.revision
-        known = self._removals_known_since <= revision <= self.version.revision
+        known_since = max(self._removals_known_since, self.drains.known_since)
+        known = known_since <= revision <= self.version.revision
+        drains = None
         if version.era != self.version.era or not known:
-            return ListChanges(tuple(self._records.values()), (), True, self.version)
+            if self.are_drains_current:
+                drains = self.drains.snapshot()
+            return ListChanges(tuple(self._records.values()), (), True, self.version, drains)
+        if self.are_drains_current:
+            drains = self.drains.changes_since(revision)
         records = tuple(r for r in self._records.values() if r.revision > revision)
         removed = tuple(item for item in self._removed.items() if item[1] > revision)
-        return ListChanges(records, removed, False, self.version)
+        return ListChanges(records, removed, False, self.version, drains)
 
     def apply(self, changes: ListChanges, now: float) -> bool:
         """Applies a delta or a snapshot.
@@ -129,6 +157,7 @@
                 return False
             if self.loaded:
                 self._replace(changes, now)
+                self._apply_drains(changes, now)
                 return True
             self.version = StateVersion(changes.version.era, 0)
         for record in changes.records:
@@ -141,8 +170,32 @@
                 self._remove(name, changes.version.revision, now)
             self._removals_known_since = self._removals_known_since or changes.version.revision
         self.version = changes.version
+        self._apply_drains(changes, now)
         return True
 
+    def _apply_drains(self, changes: ListChanges, now: float) -> None:
+        if changes.drains is not None:
+            changed = self.drains.apply(changes.drains, changes.whole, changes.version, now)
+            self._update_zones(changed, now)
+
+    def _update_zones(self, zones: list[str], now: float) -> None:
+        """Updates the servers of zones whose drain began or ended."""
+        for zone in zones:
+            state = self.drains.find(zone)
+            servers = [server for server in self.servers.values() if server.zone == zone]
+            for server in servers:
+                server.zone_drained = state.drained
+            log_event(
+                logger,
+                LogEvent.ZONE_DRAIN_BEGAN if state.drained else LogEvent.ZONE_DRAIN_ENDED,
+                zone=zone,
+                servers=len(servers),
+                has_servers=bool(servers),
+                era=state.version.era,
+                revision=state.version.revision,
+                list_age=round(now - self.confirmed_at, 2),
+            )
+
     def _replace(self, changes: ListChanges, now: float) -> None:
         """Replaces all entries by the first snapshot of a newer era; see the module's comment."""
         previous, removed = self.version, self._removed
@@ -233,6 +286,7 @@
             return
         server.warm_at = record.warm_at
         server.unverified = False
+        server.zone_drained = self.drains.is_drained(server.zone)
         if server is not current:
             server.separable = self.labels.add(server)
             log_event(
@@ -330,6 +384,7 @@
 
     def expire(self, now: float) -> None:
         """Acts on confirmed entries and absences, and forgets servers `forget_seconds` later."""
+        self._update_zones(self.drains.expire(self.absence_confirmed, now), now)
         for server in list(self._unlisted.values()):
             if self.absence_confirmed(server.unlisted_since):
                 self._retire(server, "left the list", now)
