Read drains of zones from the platform's store

Cause: the operator writes op/evacuate/ZONE, which entry VMs ignored. Change: the adapter decodes the key. A value that cannot be read still drains the zone and is logged; a key without a valid zone name is logged and ignored.

--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -1,8 +1,9 @@
-"""Decodes entries of the platform's store into records and routes.
+"""Decodes entries of the platform's store into records, routes and drains of zones.
 
 Entries come from several independent writers, so an invalid entry is rejected without affecting
 the others. An invalid entry of a server removes that server from the list, as a tombstone does;
-after an invalid entry of routes the previous routes stay.
+after an invalid entry of routes the previous routes stay. An entry that drains a zone counts by its
+key alone: if its value cannot be read, flows opened in the zone would do more harm than the drain.
 """
 
 import socket
@@ -17,10 +18,12 @@
 from ..json_bodies import decode_json
 from ..records import VmRecord
 from ..routes import Route, RouteTable, WeightedService
+from ..zone_drains import ZoneDrain
 from .packets import server_number
 
 SERVER_PREFIX = "servers/"
 ROUTES_KEY = "op/config"
+DRAIN_PREFIX = "op/evacuate/"
 # Far above any real weight; keeps sums of weights finite.
 MAX_WEIGHT = 1e9
 MAX_PORT = 65535
@@ -28,6 +31,14 @@
 T = TypeVar("T")
 
 
+class ItemHead(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of an item that can be read although its value is of an unexpected type."""
+
+    key: str
+    revision: int
+    tombstone: bool = False
+
+
 class StoreItem(msgspec.Struct, frozen=True):
     """An item of the store, or a tombstone for a removed one; `value` is base64."""
 
@@ -110,6 +121,34 @@
         return Err(str(error))
 
 
+def decode_item(raw: bytes | msgspec.Raw) -> Result[StoreItem, str]:
+    """Decodes an item; one that drains a zone also if only its value is invalid."""
+    decoded = decode_json(raw, StoreItem)
+    if decoded.is_err():
+        head = decode_json(raw, ItemHead)
+        if head.is_ok() and head.ok_value.key.startswith(DRAIN_PREFIX):
+            return head.map(lambda head: StoreItem(head.key, head.revision, "", head.tombstone))
+    return decoded
+
+
+def decode_drain(item: StoreItem) -> Result[ZoneDrain, str]:
+    """Decodes the start or end of a drain from its key; an error if that names no valid zone."""
+    fields = {
+        "zone": item.key.removeprefix(DRAIN_PREFIX),
+        "revision": item.revision,
+        "drained": not item.tombstone,
+    }
+    try:
+        return Ok(msgspec.convert(fields, type=ZoneDrain))
+    except msgspec.ValidationError as error:
+        return Err(str(error))
+
+
+def check_drain_value(item: StoreItem) -> Result[dict, str]:
+    """Returns the value of an entry that drains a zone, which has no effect, or why it is none."""
+    return _decode_value(item, dict)
+
+
 def decode_routes(item: StoreItem, era: int = 0) -> Result[RouteTable, str]:
     """Decodes the operator's routes, read in an era of the store.
 
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -1,4 +1,4 @@
-"""Reads and watches the platform's store for servers and routes."""
+"""Reads and watches the platform's store for servers, routes and drains of zones."""
 
 import logging
 import time
@@ -19,7 +19,18 @@
 from ..records import VmRecord
 from ..server_lists import ListChanges
 from ..state_versions import StateVersion
-from .entries import ROUTES_KEY, SERVER_PREFIX, StoreItem, decode_routes, decode_server
+from ..zone_drains import ZoneDrain
+from .entries import (
+    DRAIN_PREFIX,
+    ROUTES_KEY,
+    SERVER_PREFIX,
+    StoreItem,
+    check_drain_value,
+    decode_drain,
+    decode_item,
+    decode_routes,
+    decode_server,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -162,6 +173,7 @@
         now = time.monotonic()
         records: list[VmRecord] = []
         removed: list[tuple[str, int]] = []
+        drains: list[ZoneDrain] = []
         for item in filter(None, map(self._decode_item, raw_items)):
             if item.key == ROUTES_KEY and not item.tombstone:
                 self._apply_routes(item)
@@ -171,9 +183,12 @@
                     removed.append((item.key.removeprefix(SERVER_PREFIX), item.revision))
                 else:
                     records.append(record)
+            elif item.key.startswith(DRAIN_PREFIX):
+                drains += self._decode_drain(item)
         version = StateVersion(self._cursor.version.era, revision)
         server_list = self._balancer.server_list
-        if not server_list.apply(ListChanges(tuple(records), tuple(removed), whole, version), now):
+        changes = ListChanges(tuple(records), tuple(removed), whole, version, tuple(drains))
+        if not server_list.apply(changes, now):
             return self._fail(f"answer {version} is older than the list {server_list.version}")
         server_list.confirm(confirmed_at)
         self._cursor.advance(revision)
@@ -193,6 +208,18 @@
                 self._reject(item, reason)
         return None
 
+    def _decode_drain(self, item: StoreItem) -> list[ZoneDrain]:
+        """Returns the change of a zone's drain; nothing if the key names no valid zone."""
+        match decode_drain(item):
+            case Ok(drain):
+                value = Ok({}) if item.tombstone else check_drain_value(item)
+                if value.is_err():
+                    self._reject(item, f"the zone is drained all the same: {value.err_value}")
+                return [drain]
+            case Err(reason):
+                self._reject(item, reason)
+        return []
+
     def _apply_routes(self, item: StoreItem) -> None:
         match decode_routes(item, self._cursor.version.era):
             case Ok(table):
@@ -201,7 +228,7 @@
                 self._reject(item, reason)
 
     def _decode_item(self, raw: msgspec.Raw) -> StoreItem | None:
-        match decode_json(raw, StoreItem):
+        match decode_item(raw):
             case Ok(item):
                 return item
             case Err(reason):
--- a/tests/test_platform_packets.py
+++ b/tests/test_platform_packets.py
@@ -10,8 +10,16 @@
 
 from marjoramford.addresses import Address
 from marjoramford.packets import FlowKey, Forward
-from marjoramford.platform.entries import StoreItem, decode_routes, decode_server
+from marjoramford.platform.entries import (
+    StoreItem,
+    check_drain_value,
+    decode_drain,
+    decode_item,
+    decode_routes,
+    decode_server,
+)
 from marjoramford.platform.packets import PlatformCodec, server_number
+from marjoramford.zone_drains import ZoneDrain
 
 from .flow_worlds import FlowWorld, record
 
@@ -147,3 +155,34 @@
 def test_server_numbers_are_the_hex_digits_of_the_id():
     assert server_number("i-00ff") == struct.pack(">Q", 255)
     assert len(server_number("i-" + "f" * 20)) == 8
+
+
+def drain_item(zone="b", value=b"{}", revision=5):
+    return item(value, key=f"op/evacuate/{zone}", revision=revision)
+
+
+def test_a_zone_is_drained_by_its_key_and_returned_by_its_tombstone():
+    assert decode_drain(drain_item()).unwrap() == ZoneDrain("b", 5, True)
+    tombstone = StoreItem("op/evacuate/b", 6, tombstone=True)
+    assert decode_drain(tombstone).unwrap() == ZoneDrain("b", 6, False)
+
+
+@pytest.mark.parametrize(("zone", "valid"), [("", False), ("z" * 64, True), ("z" * 65, False)])
+def test_a_key_that_drains_needs_the_name_of_a_zone(zone, valid):
+    assert decode_drain(drain_item(zone)).is_ok() == valid
+
+
+@pytest.mark.parametrize(("value", "valid"), [(b"{}", True), (b"[]", False), (b"\xff", False)])
+def test_an_unreadable_value_still_drains_the_zone(value, valid):
+    assert decode_drain(drain_item(value=value)).is_ok()
+    assert check_drain_value(drain_item(value=value)).is_ok() == valid
+
+
+@pytest.mark.parametrize("value", ["7", "null", '"%%%"'])
+def test_an_item_whose_value_is_of_another_type_still_drains_the_zone(value):
+    raw = '{"key": "%s", "revision": 5, "value": %s}'
+    decoded = decode_item((raw % ("op/evacuate/b", value)).encode()).unwrap()
+    assert decode_drain(decoded).unwrap() == ZoneDrain("b", 5, True)
+    assert check_drain_value(decoded).is_err()
+    if value != '"%%%"':
+        assert decode_item((raw % ("servers/i-1", value)).encode()).is_err()
