Pass drains of zones on to followers

Cause: followers learn the state from readers, which left out the drains. Change: published states carry the drains always; a state without them comes from an older build or a reader that knows them in part, is applied, and its sender avoided until the drains are known as of the list's version. Questions name the version up to which both are known. An entry VM is not ready before it knows the drains once; a label that no server has is dropped or reset as before.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -85,8 +85,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether routes and servers are known, so that flows can be placed."""
-        return self._routes is not None and self.server_list.loaded
+        """Whether routes, servers and drains of zones are known, so that flows can be placed."""
+        server_list = self.server_list
+        return self._routes is not None and server_list.loaded and server_list.drains.known
 
     @property
     def refusal_levels(self) -> dict[str, float]:
@@ -342,7 +343,7 @@
         first_seen = self._unknown_labels.setdefault(header.label, now)
         if len(self._unknown_labels) > MAX_UNKNOWN_LABELS:
             del self._unknown_labels[next(iter(self._unknown_labels))]
-        if not self.ready or not self.server_list.absence_confirmed(first_seen):
+        if not self.server_list.loaded or not self.server_list.absence_confirmed(first_seen):
             return self._drop("label not listed yet")
         return self._refuse(header.flow, "label of no server")
 
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -16,6 +16,7 @@
 from .routes import RouteChanges, RouteTable
 from .server_lists import ListChanges
 from .state_versions import StateVersion
+from .zone_drains import ZoneDrain
 
 # Smaller states are sent as they are. A table of hundreds of routes for each follower would fill a
 # narrow link for a second, and packets of callers would be lost there.
@@ -36,6 +37,8 @@
         era: era of the revision; left out at 0, since older builds know no eras.
         reachable: seconds since the platform recovered from its last interruption, 0 while it does
             not answer; left out if it was never lost or long enough ago, and by older builds.
+        drains: drains of zones that began or ended; those in force if `whole`. Sent also if empty:
+            its absence shows an older build, or a sender that knows the drains only in part.
     """
 
     records: tuple[VmRecord, ...]
@@ -46,6 +49,7 @@
     routes: RouteChanges | None = None
     era: Annotated[int, Meta(ge=0)] = 0
     reachable: Annotated[float, Meta(ge=0)] | None = None
+    drains: tuple[ZoneDrain, ...] | None = None
 
 
 class _KnownVersions(msgspec.Struct, frozen=True):
@@ -135,6 +139,7 @@
             balancer.route_history.changes_since(known.routes_version, known.routes_era),
             changes.version.era,
             None if recovered_at is None else max(0.0, now - recovered_at),
+            changes.drains,
         )
 
 
@@ -177,7 +182,8 @@
         return True
     records = tuple(_shift_warm_at(record, now) for record in state.records)
     version = StateVersion(state.era, state.revision)
-    if server_list.apply(ListChanges(records, state.removed, state.whole, version), now):
+    changes = ListChanges(records, state.removed, state.whole, version, state.drains)
+    if server_list.apply(changes, now):
         recovered_at = float("-inf") if state.reachable is None else now - state.reachable
         server_list.confirm(now - state.age, recovered_at)
     return state.era == server_list.version.era
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -115,8 +115,10 @@
         """Returns the request target that asks a peer for changes.
 
         The eras are sent even if they are 0: their absence shows a follower of an older build.
+        Entries after the version up to which the drains are known are asked for again, since the
+        drains of an answer begin at the same version.
         """
-        version = self._balancer.server_list.version
+        version = self._balancer.server_list.known_version
         routes_version, routes_era = (
             self._balancer.routes.order if self._balancer.routes else (0, 0)
         )
@@ -134,7 +136,11 @@
                     reason = f"state of era {state.era} cannot follow version {known}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
                     return False
-                self._group.record_peer_read(address, state.age, now)
+                if self._balancer.server_list.are_drains_current:
+                    self._group.record_peer_read(address, state.age, now)
+                else:
+                    reason = f"drains of zones not known as of {state.era}.{state.revision}"
+                    self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
                 self._publisher.notify()
                 return True
             case Err(reason):
