Keep opening packets from servers of drained zones

Cause: a copy of an opening packet followed its original to a server whose zone had been drained meanwhile, and drained slots hid an overload elsewhere. Change: such a copy is dropped within copy_seconds and moves to another server later; without one it is dropped, since a reset could hit a flow that has just opened. A new flow whose service has only drained servers is refused at once. Servers of drained zones count neither as slots nor as requests in progress.

--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -141,8 +141,9 @@
     @property
     def accepts_work(self) -> bool:
         """Whether it may receive new requests or flows, regardless of its load and ejection."""
-        excluded = self.leaving or self.gone or self.unverified or self.zone_drained
-        return self.separable and not excluded
+        return self.separable and not (
+            self.leaving or self.gone or self.unverified or self.zone_drained
+        )
 
     def is_open(self, now: float) -> bool:
         """Returns whether another request may be dispatched to it now."""
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -36,6 +36,8 @@
 MAX_UNKNOWN_LABELS = 1024
 # Route tables kept to compute deltas for followers that are behind; a burst of changes is shorter.
 MAX_ROUTE_TABLES = 32
+# Reason for which opening packets are refused or dropped.
+ZONE_DRAINED = "zone drained"
 # How long a half-closed flow stays in the table after its caller's last packet; several of the
 # longest retransmission intervals.
 CLOSED_FLOW_TTL_SECONDS = 5.0
@@ -164,7 +166,7 @@
         if flow is not None and flow.first_sequence == header.sequence:
             if flow.opening:
                 return self._handle_repeated_opening(flow, now)
-            return Forward(flow.server, flow.label)
+            return self._repeat_opening(flow)
         route = self._routes.find(header.flow.route_ip, header.flow.route_port)
         if route is None:
             return self._refuse(header.flow, "no route")
@@ -175,7 +177,7 @@
             return self._refuse(header.flow, "overload")
         server = self._place(service, (), now)
         if server is None:
-            return self._refuse(header.flow, "no server")
+            return self._refuse_without_server(header.flow, service)
         label = derive_label(server.name, server.incarnation)
         flow = PacketFlow(header.flow, server, label, True, now, now, waiting_since=now)
         flow.first_sequence = header.sequence
@@ -206,20 +208,21 @@
 
         The flow moves if its server has not answered on any flow since it was first sent this
         packet, or if it accepts no more work. The flow stays if no other server can take it, and in
-        any case for the first `copy_seconds` at each server.
+        any case for the first `copy_seconds` at each server. A copy that would go to a drained zone
+        is dropped: a reset could hit a flow that has just opened there.
         """
         flow.active_at = now
         server = flow.server
         answered = server.responsiveness.answered_at >= flow.waiting_since
         within_copy_interval = now - flow.waiting_since < self._settings.placement.copy_seconds
         if within_copy_interval or (answered and server.accepts_work):
-            return Forward(server, flow.label)
+            return self._repeat_opening(flow)
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
         if alternative is None or alternative is server:
-            return Forward(server, flow.label)
+            return self._repeat_opening(flow)
         self._end_flow(flow)
         flow.tried = (*flow.tried, server)
         flow.server = alternative
@@ -229,6 +232,19 @@
         log_placement(LogEvent.FLOW_MOVED, flow, self._routes, self.server_list, now)
         return Forward(alternative, flow.label)
 
+    def _repeat_opening(self, flow: PacketFlow) -> PacketAction:
+        """Forwards a copy of an opening packet to the flow's server, unless its zone is drained."""
+        if flow.server.zone_drained:
+            return self._drop(ZONE_DRAINED)
+        return Forward(flow.server, flow.label)
+
+    def _refuse_without_server(self, flow: FlowKey, service: str) -> ResetFlow:
+        servers = self.server_list.servers.of_service(service)
+        if any(s.zone_drained and not (s.leaving or s.gone) for s in servers):
+            self.counters["refused_zone_drained"] += 1
+            return self._refuse(flow, ZONE_DRAINED)
+        return self._refuse(flow, "no server")
+
     def _place(
         self, service: str, avoided: tuple[BackendServer, ...], now: float
     ) -> BackendServer | None:
--- a/marjoramford/overload_controls.py
+++ b/marjoramford/overload_controls.py
@@ -174,13 +174,16 @@
 def are_slots_taken(servers: Iterable[BackendServer], entry_vms: int, queued_share: float) -> bool:
     """Returns whether the slots of a service are taken and requests wait for them.
 
-    The requests of all entry VMs are extrapolated from those in progress through this one.
+    The requests of all entry VMs are extrapolated from those in progress through this one. Servers
+    of drained zones do not count: their slots are of no use to new flows.
 
     Args:
         servers: the servers of the service.
         entry_vms: entry VMs that share the load, with this one.
         queued_share: waiting requests that are required, as a share of the slots.
     """
-    listed = [server for server in servers if server.unlisted_since is None]
+    listed = [
+        server for server in servers if server.unlisted_since is None and not server.zone_drained
+    ]
     in_progress = sum(server.in_progress for server in listed) * entry_vms
     return in_progress > (1 + queued_share) * sum(server.slots for server in listed)
--- a/tests/flow_worlds.py
+++ b/tests/flow_worlds.py
@@ -10,6 +10,7 @@
 from marjoramford.routes import Route, RouteTable, WeightedService
 from marjoramford.server_lists import ListChanges
 from marjoramford.state_versions import StateVersion
+from marjoramford.zone_drains import ZoneDrain
 
 ROUTE_IP = 0xC6120001
 ROUTE_PORT = 443
@@ -58,6 +59,12 @@
     return ListChanges((entry,), (), False, StateVersion(era, entry.revision))
 
 
+def drain(zone, revision, drained=True, era=0):
+    """A delta in which the drain of one zone begins or ends."""
+    change = ZoneDrain(zone, revision, drained)
+    return ListChanges((), (), False, StateVersion(era, revision), (change,))
+
+
 class FlowWorld:
     """A balancer with a simulated clock, and callers with distinct ports."""
 
