Ports of processes that start later are reserved

Cause: free ports were chosen by binding port 0 and closing the socket. The kernel gives such a port to the next outgoing connection or to another socket bound to port 0, also of another test process, before the process that it is meant for binds it. Three copies of the function existed.

Change: one function, standins.ports.free_ports.

--- a/marjoramford/standins/demos.py
+++ b/marjoramford/standins/demos.py
@@ -20,9 +20,10 @@
 from .fabrics import FabricStandin, NetworkConditions
 from .platform_models import PlatformModel
 from .platforms import PlatformStandin
+from .ports import HOST
 from .server_models import Ledger, ServerModel
 from .servers import ServerStandin
-from .sites import HOST, plan_site
+from .sites import plan_site
 from .tallies import KindTally, PromiseTally, tally_requests
 
 UPLOAD_PIECES = 300
--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -24,6 +24,7 @@
 from .packet_servers import PacketServer
 from .packet_sockets import LoopbackEndpoint, await_callback
 from .packet_stores import PacketStore
+from .ports import free_ports
 from .rotations import PROBE_INTERVAL_SECONDS, Rotation
 from .store_proxies import LOOPBACK, ProxyMode, StoreProxy
 
@@ -123,8 +124,7 @@
         self.started_at = time.monotonic()
 
     async def __aenter__(self) -> "PacketSite":
-        self.packet_port = _free_port(socket.SOCK_DGRAM)
-        self._server_port = _free_port(socket.SOCK_DGRAM)
+        self.packet_port, self._server_port = free_ports(2)
         self._store_server = await self.store.serve(Address(LOOPBACK, 0))
         store = Address(LOOPBACK, self._store_server.sockets[0].getsockname()[1])
         self.change_routes()
@@ -434,7 +434,7 @@
         self.last_fault_at = time.monotonic()
 
     async def _start_vms(self, store: Address) -> None:
-        ready_port, control_port = _free_port(), _free_port()
+        ready_port, control_port = free_ports(2)
         places = [(zone, n) for zone in self._zones for n in range(self._vms_per_zone)]
         ips = [f"127.0.{10 + self._zones.index(zone)}.{1 + n}" for zone, n in places]
         for (zone, number), ip in zip(places, ips, strict=True):
@@ -507,9 +507,3 @@
         "timeout_ms": 2000,
         "priority": 1,
     }
-
-
-def _free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
--- a/marjoramford/standins/sites.py
+++ b/marjoramford/standins/sites.py
@@ -1,6 +1,5 @@
 """Addresses and ports of all processes of a deployment, and their settings files."""
 
-import socket
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -11,8 +10,8 @@
 from ..records import VmRecord
 from .deployments import Deployment
 from .platform_models import PlatformModel
+from .ports import HOST, free_ports
 
-HOST = "127.0.0.1"
 SITE_SECRET = "00112233445566778899aabbccddeeff"
 SITE_FILE = "site.json"
 
@@ -117,22 +116,3 @@
         for number, (service, name) in enumerate(names)
     )
     return Site(deployment, next(ports), next(ports), entry_vms, servers)
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns distinct ports that are free for both UDP and TCP on the loopback interface."""
-    sockets = []
-    ports: list[int] = []
-    while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        tcp.bind((HOST, 0))
-        sockets += [tcp, udp]
-        try:
-            udp.bind((HOST, tcp.getsockname()[1]))
-        except OSError:
-            continue
-        ports.append(tcp.getsockname()[1])
-    for opened in sockets:
-        opened.close()
-    return ports
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -14,7 +14,7 @@
 from marjoramford.addresses import Address
 from marjoramford.dispatchers import Dispatcher
 from marjoramford.events import AnswerReceived, BrokenOff, ProvedNotRun
-from marjoramford.standins.sites import free_ports
+from marjoramford.standins.ports import free_ports
 
 DEADLINE = 1000.0
 BEFORE, AFTER = DEADLINE - 5.0, DEADLINE + 5.0
--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,24 +11,19 @@
 
 import pytest
 
-WAIT_SECONDS = 60.0
-
+from marjoramford.standins.ports import free_ports
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+WAIT_SECONDS = 60.0
 
 
 @pytest.fixture
 def entry_vm(tmp_path):
     """Starts an entry VM without a store; the process is killed after the test."""
-    ports = {"ready_address": free_port(), "control_address": free_port()}
-    settings = {name: f"127.0.0.1:{port}" for name, port in ports.items()} | {
+    names = ("ready_address", "control_address", "packet_address", "platform")
+    ports = zip(names, free_ports(len(names)), strict=True)
+    settings = {name: f"127.0.0.1:{port}" for name, port in ports} | {
         "name": "front-1",
         "zone": "a",
-        "packet_address": f"127.0.0.1:{free_port()}",
-        "platform": f"127.0.0.1:{free_port()}",
         "stop": {"unready_seconds": 0.1, "quiet_seconds": 0.1},
     }
     path = tmp_path / "entry.json"
