--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
+from .schedulers import GroupScheduling
+
 settings.register_profile(
     "marjoramford",
     derandomize=True,
@@ -27,5 +29,9 @@
             item.add_marker(pytest.mark.skip(reason=f"KNOWN-RED: {item.nodeid}"))
 
 
+def pytest_xdist_make_scheduler(config, log):
+    return GroupScheduling(config, log)
+
+
 def pytest_addoption(parser):
     parser.addoption("--known-red", action="store_true", help="also run what KNOWN-RED.txt lists")
