A planned stop under load leaves no request without an answer

Cause: flows that always have a request under way are not handed over and go on until the deadline of the planned stop. A request that was accepted shortly before, and takes longer than the linger time, was dispatched and then cut off by the exit; its caller was told nothing.

Change: while a planned stop is in progress, a request is refused if it could still run at the exit, by the upper bound of the service's request durations; so are queued ones. What runs at the exit all the same ends as unknown, and its caller is told.

--- a/marjoramford/coordinators.py
+++ b/marjoramford/coordinators.py
@@ -154,13 +154,20 @@
     def close(self, now: float) -> list[Action]:
         """Dispatches nothing from now on, since the process exits soon; gives up queued requests.
 
-        Running requests go on, and their answers are delivered.
+        Running requests go on, and their answers are delivered until `cancel_running`.
         """
         self._closed = True
         actions: list[Action] = []
         for queue in self._queues.values():
-            while (record := queue.pop()) is not None:
-                actions += self._give_up(record, LEFT_REASON, now)
+            actions += self._give_up_queue(queue, now)
+        return actions
+
+    def cancel_running(self, now: float) -> list[Action]:
+        """Gives up the requests that still run, since the process exits; they end as unknown."""
+        actions: list[Action] = []
+        for running in list(self._running.values()):
+            actions += self._cancel(running.record, now)
+            actions += self._finish(running.record, Unknown(LEFT_REASON))
         return actions
 
     def schedule_record_expiry(self, flow_number: int, now: float) -> None:
@@ -188,6 +195,8 @@
         queue = self._queues.get(service)
         if queue is None or not len(queue):
             return []
+        if self._is_closed(service, now):
+            return self._give_up_queue(queue, now)
         actions = self._give_up_late(queue, service, now)
         passed_over: list[RequestRecord] = []
         while (record := queue.pop()) is not None:
@@ -229,11 +238,27 @@
             return self._give_up(record, "deadline has passed", now)
         if len(request.body) > MAX_REQUEST_BODY_BYTES:
             return self._give_up(record, "body is too long", now)
-        if self._closed:
+        if self._is_closed(record.service, now):
             return self._give_up(record, LEFT_REASON, now)
         self._budget(record.service).deposit()
         return self._dispatch_or_queue(record, now)
 
+    def _is_closed(self, service: str, now: float) -> bool:
+        """Whether a request of a service that starts now may outlast the planned stop.
+
+        The exit would cut it off, and its caller could not tell whether it ran.
+        """
+        if self._closed or self._node.draining_until is None:
+            return self._closed
+        exit_at = self._node.draining_until + self._node.settings.times.drain_linger
+        return now + self._node.servers.request_durations(service).upper_bound_seconds > exit_at
+
+    def _give_up_queue(self, queue: WaitingQueue, now: float) -> list[Action]:
+        actions: list[Action] = []
+        while (record := queue.pop()) is not None:
+            actions += self._give_up(record, LEFT_REASON, now)
+        return actions
+
     def _rules(self, service: str, kind: str) -> KindRules:
         entry = self._node.catalogue.get(service)
         rules = entry.kind(kind) if entry else None
@@ -453,7 +478,7 @@
     def _retry(self, record: RequestRecord, now: float, at_once: bool) -> list[Action]:
         if record.deadline <= now:
             return self._give_up(record, "deadline has passed", now)
-        if self._closed:
+        if self._is_closed(record.service, now):
             return self._give_up(record, LEFT_REASON, now)
         if at_once:
             dispatch = self._try_dispatch(record, now)
--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -7,7 +7,10 @@
 2. Left: when nothing remains to be done, or at the deadline, it becomes `left` and dispatches no
    more requests. The next gossip announces this, with the successor if that has adopted any flows.
 3. Exit: after the configured linger time, `DrainFinished` lets the process exit. Until then the
-   entry VM still handles datagrams.
+   entry VM still handles datagrams. Requests that still run are given up, and callers are told.
+
+Load pattern: flows that always have a request under way, so that they cannot be handed over, go on
+until the deadline. A request that would outlast the stop is refused meanwhile.
 """
 
 import logging
@@ -141,7 +144,9 @@
         if node.draining_until is None:
             return []
         if self._exit_at is not None:
-            return [DrainFinished()] if now >= self._exit_at else []
+            if now < self._exit_at:
+                return []
+            return [*self._coordinator.cancel_running(now), DrainFinished()]
         actions = self._resend(now)
         while self._may_send():
             flow_numbers = tuple(islice(self._idle_flows(), FLOWS_PER_BATCH))
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from marjoramford.actions import SendHandover
+from marjoramford.actions import CancelDispatch, DrainFinished, SendHandover
 from marjoramford.events import AnswerReceived, DrainRequested, HandoverReplied, Tick
 from marjoramford.handovers import HandoverReply
 from marjoramford.logs import LogEvent
-from marjoramford.messages import Answer, CoordinatorLost, NotRun
+from marjoramford.messages import Answer, CoordinatorLost, NotRun, OutcomeUnknown
 
 from .token_cores import NOW, TokenCore, dispatches, messages
 
@@ -89,3 +89,38 @@
     late = core.request(idle, now=NOW + 2.2, deadline=NOW + 20.0)
     assert not dispatches(late)
     assert [type(message) for message in messages(late)] == [NotRun]
+
+
+def test_a_request_that_still_runs_at_the_exit_ends_as_unknown():
+    """The exit cut it off, and its caller got no reply."""
+    core = TokenCore()
+    linger = core.balancer.node.settings.times.drain_linger
+    (running,) = dispatches(core.request(core.open_flow(), deadline=NOW + 20.0))
+    drain(core, seconds=2.0)
+    core.balancer.handle(Tick(), NOW + 2.0)
+    actions = core.balancer.handle(Tick(), NOW + 2.0 + linger)
+    assert [type(message) for message in messages(actions)] == [OutcomeUnknown]
+    assert actions[0] == CancelDispatch(running.dispatch)
+    assert actions[-1] == DrainFinished()
+
+
+def test_a_request_that_would_outlast_the_stop_is_refused():
+    """It was dispatched just before the deadline, and the exit cut it off."""
+    core = TokenCore(slots=2)
+    linger = core.balancer.node.settings.times.drain_linger
+    busy, waiting, late = (core.open_flow() for _ in range(3))
+    (measured,) = dispatches(core.request(busy, 1, deadline=NOW + 60.0))
+    core.end(measured, AnswerReceived(b"done"), NOW + 5.0)
+    running = dispatches(core.request(busy, 2, now=NOW + 5.0, deadline=NOW + 60.0))
+    running += dispatches(core.request(busy, 3, now=NOW + 5.0, deadline=NOW + 60.0))
+    assert len(running) == 2
+    assert not dispatches(core.request(waiting, now=NOW + 5.0, deadline=NOW + 60.0))
+    drain(core, now=NOW + 5.0, seconds=10.0)
+    # Requests take 5 s, and the process exits `drain_linger` after the deadline.
+    start_by = NOW + 15.0 + linger - 5.0
+    actions = core.end(running[0], AnswerReceived(b"done"), start_by + 0.1)
+    assert not dispatches(actions)
+    assert [type(message) for message in messages(actions)] == [Answer, NotRun]
+    actions = core.request(late, now=start_by + 0.2, deadline=NOW + 60.0)
+    assert not dispatches(actions)
+    assert [type(message) for message in messages(actions)] == [NotRun]
