An answer of a backend server is the whole answer to its own request

Cause: dispatches used kept HTTP connections. A response does not name its request, so a second copy of an answer that a server sent late was taken for the answer to the next request on the connection: its caller got the answer of another caller as a success. And a body without a length, which only the end of the connection ends, was taken as complete when the server broke it off.

Change: each dispatch has a connection of its own. A 200 whose body has neither a length nor chunks leaves the outcome unknown. Documented in docs/protocol.md and docs/design/requests.md.

Measured: two of the new cases in tests/test_dispatchers.py fail without the change; with it its 12 tests pass. Cost: on loopback, 2,000 requests in turn, client and server in one process, twice each: 331 and 378 us of processor time for a request in place of 149 and 124 us.

--- a/marjoramford/dispatchers.py
+++ b/marjoramford/dispatchers.py
@@ -1,4 +1,7 @@
-"""Dispatches requests to backend servers over pooled HTTP connections.
+"""Dispatches requests to backend servers over HTTP, with a connection for each request.
+
+HTTP/1.1 responses do not name their request. On a connection that is used again, a second copy of
+an answer would be taken for the answer to the next request.
 
 Each dispatch reaches a server at most once, because TCP never delivers a request twice and aiohttp
 does not retry a POST. A request provably did not run if the server refused it with the not-run
@@ -19,7 +22,6 @@
 
 NOT_RUN_HEADER = "X-Not-Run"
 CONNECT_TIMEOUT_SECONDS = 1.0
-KEEPALIVE_TIMEOUT_SECONDS = 15.0
 
 
 class _DeadlinePassedError(Exception):
@@ -40,8 +42,7 @@
         """Executes the core's dispatches and cancellations until cancelled."""
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(self._check_deadline)
-        trace.on_connection_reuseconn.append(self._check_deadline)
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
         async with aiohttp.ClientSession(connector=connector, trace_configs=[trace]) as session:
             while True:
                 action = await self._core.dispatches.get()
@@ -112,6 +113,8 @@
 
 async def _read_outcome(response: aiohttp.ClientResponse) -> DispatchOutcome:
     if response.status == 200:
+        if not _shows_its_end(response):
+            return BrokenOff("answer does not show where it ends")
         return AnswerReceived(await response.read())
     reason = response.headers.get(NOT_RUN_HEADER)
     if reason is None:
@@ -122,3 +125,12 @@
         mismatch=reason == "mismatch",
         expired=reason == "deadline",
     )
+
+
+def _shows_its_end(response: aiohttp.ClientResponse) -> bool:
+    """Whether a body that broke off can be told from a complete one.
+
+    A body without a length and not in chunks ends with the connection, also when a server crashes.
+    """
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or response.content_length is not None
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -1,10 +1,11 @@
 """Dispatches to backend servers: which outcomes prove that a request did not run.
 
-Guards against reporting a request as not run that may have run, and against sending one after its
-deadline.
+Guards against reporting a request as not run that may have run, against sending one after its
+deadline, and against an answer that is not the whole answer to the request.
 """
 
 import asyncio
+from contextlib import asynccontextmanager
 from itertools import chain, repeat
 
 import pytest
@@ -77,6 +78,40 @@
     return outcome, count
 
 
+@asynccontextmanager
+async def raw_server(respond):
+    """A server that handles its connections with `respond`; yields its address."""
+    tasks = []
+
+    async def serve(reader, writer):
+        tasks.append(asyncio.current_task())
+        try:
+            await respond(reader, writer)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield Address("127.0.0.1", server.sockets[0].getsockname()[1])
+    finally:
+        server.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def dispatch_in_turn(address, bodies):
+    """Dispatches a request for each body once the one before has ended; returns the outcomes."""
+    core = FakeCore(repeat(BEFORE))
+    dispatcher = asyncio.create_task(Dispatcher(core).run())
+    outcomes = []
+    for number, body in enumerate(bodies, 1):
+        core.dispatches.put_nowait(
+            Dispatch(number, address, "booking", "booking-1", 1, 7, number, "hold", DEADLINE, body)
+        )
+        outcomes.append((await asyncio.wait_for(core.ended.get(), 30)).outcome)
+    dispatcher.cancel()
+    return outcomes
+
+
 async def answer(request):
     return web.Response(body=b"done:" + await request.read())
 
@@ -141,3 +176,51 @@
 
     dispatch(wait_for_cancellation, cancel=True)
     assert cancelled
+
+
+@pytest.mark.parametrize("with_next", [False, True], ids=["at once", "with the next answer"])
+def test_a_second_copy_of_an_answer_is_not_the_answer_to_the_next_request(with_next):
+    """The next request on the connection got the copy, which aiohttp cannot tell apart."""
+
+    async def respond(reader, writer):
+        copy = b""
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            body = await reader.readexactly(len(b"work-1"))
+            response = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n" + body
+            if with_next:
+                writer.write(copy + response)
+                copy = response
+            else:
+                writer.write(response + response)
+
+    async def scenario():
+        async with raw_server(respond) as address:
+            return await dispatch_in_turn(address, [b"work-1", b"work-2"])
+
+    assert asyncio.run(scenario()) == [AnswerReceived(b"work-1"), AnswerReceived(b"work-2")]
+
+
+@pytest.mark.parametrize(
+    ("header", "begun"),
+    [
+        (b"Content-Length: 20\r\n", b"half of the"),
+        (b"Transfer-Encoding: chunked\r\n", b"b\r\nhalf of the\r\n"),
+        (b"", b"half of the"),
+    ],
+    ids=["length", "chunks", "until the connection ends"],
+)
+def test_an_answer_that_broke_off_is_no_answer(header, begun):
+    """A body that only the end of the connection ends may have been cut off by a crash."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n" + header + b"\r\n" + begun)
+        await writer.drain()
+
+    async def scenario():
+        async with raw_server(respond) as address:
+            return await dispatch_in_turn(address, [b"work"])
+
+    (outcome,) = asyncio.run(scenario())
+    assert isinstance(outcome, BrokenOff)
