A reply to another batch of flows proves nothing

Cause: the reply to a hand-over was taken for the reply to the batch that was sent on the connection, whatever batch it named. A second copy of an earlier reply would let the flows continue here although the successor had adopted them, or count them as moved although it had not.

Change: a reply that names another batch is no valid reply, so the batch is sent again. A successor that cannot decode a batch names 0.

--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -82,7 +82,10 @@
 
 
 class HandoverReply(msgspec.Struct, frozen=True):
-    """The successor's reply; `adopted` means all flows of the batch, otherwise it adopted none."""
+    """The successor's reply; `adopted` means all flows of the batch, otherwise it adopted none.
+
+    `batch` is 0 if the successor could not decode the batch.
+    """
 
     batch: int
     adopted: bool
@@ -309,9 +312,16 @@
         return actions
 
     def _decode_adopted(self, event: HandoverReplied) -> bool | None:
+        """Returns whether the batch was adopted; None if that is not known.
+
+        A second copy of the reply to another batch says nothing about this one.
+        """
         if event.payload is None:
             return None
-        return decode_json(event.payload, HandoverReply).map_or(None, lambda reply: reply.adopted)
+        match decode_json(event.payload, HandoverReply):
+            case Ok(reply) if reply.batch == event.batch or reply == HandoverReply(0, False):
+                return reply.adopted
+        return None
 
 
 def snapshot_flow(number: int, flow: Flow) -> FlowState:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -124,3 +124,17 @@
     actions = core.request(late, now=start_by + 0.2, deadline=NOW + 60.0)
     assert not dispatches(actions)
     assert [type(message) for message in messages(actions)] == [NotRun]
+
+
+@pytest.mark.parametrize("adopted", [True, False])
+def test_the_reply_to_another_batch_proves_nothing(adopted):
+    """A second copy of a reply would let two coordinators, or none, decide on the flows."""
+    core = TokenCore(peers=("entry-2",), slots=4)
+    busy, idle = core.open_flow(), core.open_flow()
+    core.request(busy)
+    (batch,) = drain(core)
+    copy = msgspec.json.encode(HandoverReply(batch.batch + 1, adopted))
+    core.balancer.handle(HandoverReplied(batch.batch, copy), NOW)
+    assert not dispatches(core.request(idle))
+    (resent,) = batches(core.balancer.handle(Tick(), NOW + 1.0))
+    assert resent.payload == batch.payload
