An early answer of the store confirms nothing in the future

Cause: an answer to a watch without events was taken as a confirmation at the end of the wait, up to 20 s ahead. A second copy of an earlier answer on the kept connection comes at once, and an absence would count as confirmed before the store had confirmed it: flows to a live server would be reset.

Change: the confirmation is no later than the answer.

Measured: the new test of tests/test_state_readers.py fails without the change.

--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -115,8 +115,9 @@
         changes = reply.ok_value
         if changes.as_of < watched:
             return self._fail("store revision went backwards")
-        # Without events the store answers only at the end of the wait.
-        confirmed_at = asked_at if changes.events else asked_at + wait
+        # Without events the store answers only at the end of the wait; a second copy of an earlier
+        # answer may come before.
+        confirmed_at = asked_at if changes.events else min(asked_at + wait, time.monotonic())
         applied = self._apply(changes.events, False, changes.as_of, confirmed_at)
         return applied.map(lambda _: bool(changes.events))
 
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -275,3 +275,27 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_an_empty_answer_before_the_end_of_the_wait_confirms_nothing_in_the_future():
+    """A second copy of an earlier answer confirmed absences that the store had not confirmed."""
+
+    async def scenario():
+        store = filled_store()
+        body = msgspec.json.encode({"events": [], "as_of": store.revision})
+
+        async def answer(request):
+            if request.target.startswith("/v1/kv-watch"):
+                return HttpResponse(200, body)
+            return await store.answer(request)
+
+        server, address = await serve(answer)
+        settings = msgspec.structs.replace(SETTINGS, platform=str(address))
+        balancer = FlowBalancer(settings, Random(1), 0.0)
+        reader = StoreReader(settings, balancer)
+        await reader.read(0.1)
+        assert (await reader.read(20.0)).is_ok()
+        assert balancer.server_list.confirmed_at <= time.monotonic()
+        server.close()
+
+    asyncio.run(scenario())
