--- a/marjoramford/handovers.py
+++ b/marjoramford/handovers.py
@@ -7,7 +7,10 @@
 2. Left: when nothing remains to be done, or at the deadline, it becomes `left` and dispatches no
    more requests. The next gossip announces this, with the successor if that has adopted any flows.
 3. Exit: after the configured linger time, `DrainFinished` lets the process exit. Until then the
-   entry VM still handles datagrams.
+   entry VM still handles datagrams. Requests that still run are given up, and callers are told.
+
+Load pattern: flows that always have a request under way, so that they cannot be handed over, go on
+until the deadline. A request that would outlast the stop is refused meanwhile.
 """
 
 import logging
@@ -79,7 +82,10 @@
 
 
 class HandoverReply(msgspec.Struct, frozen=True):
-    """The successor's reply; `adopted` means all flows of the batch, otherwise it adopted none."""
+    """The successor's reply; `adopted` means all flows of the batch, otherwise it adopted none.
+
+    `batch` is 0 if the successor could not decode the batch.
+    """
 
     batch: int
     adopted: bool
@@ -141,7 +147,9 @@
         if node.draining_until is None:
             return []
         if self._exit_at is not None:
-            return [DrainFinished()] if now >= self._exit_at else []
+            if now < self._exit_at:
+                return []
+            return [*self._coordinator.cancel_running(now), DrainFinished()]
         actions = self._resend(now)
         while self._may_send():
             flow_numbers = tuple(islice(self._idle_flows(), FLOWS_PER_BATCH))
@@ -304,9 +312,16 @@
         return actions
 
     def _decode_adopted(self, event: HandoverReplied) -> bool | None:
+        """Returns whether the batch was adopted; None if that is not known.
+
+        A second copy of the reply to another batch says nothing about this one.
+        """
         if event.payload is None:
             return None
-        return decode_json(event.payload, HandoverReply).map_or(None, lambda reply: reply.adopted)
+        match decode_json(event.payload, HandoverReply):
+            case Ok(reply) if reply.batch == event.batch or reply == HandoverReply(0, False):
+                return reply.adopted
+        return None
 
 
 def snapshot_flow(number: int, flow: Flow) -> FlowState:
