--- a/marjoramford/commands.py
+++ b/marjoramford/commands.py
@@ -28,7 +28,7 @@
 from .standins.demos import Demo
 from .standins.deployments import DEPLOYMENTS, Deployment
 from .standins.faults import FAULT_SETS
-from .tables import render_demo, render_packet_demo
+from .tables import render_demo, render_packet_demo, render_zones
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -87,6 +87,18 @@
         """
         print(json.dumps(_get_json(at, "/v1/state"), indent=2))
 
+    @deferred
+    def zones(self, at: str) -> None:
+        """Prints the zones known to an entry VM for opaque flows and which of them are drained.
+
+        Args:
+            at: HOST:PORT of its control server.
+        """
+        state = _get_json(at, "/v1/state")
+        if "drained_zones" not in state:
+            _exit_failed(f"the entry VM at {at} knows no drains of zones")
+        print(render_zones(state))
+
     @deferred
     def drain(self, at: str) -> None:
         """Starts the planned stop of an entry VM.
--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/flow_dumps.py
@@ -7,6 +7,7 @@
 from .backend_servers import BackendServer
 from .flow_balancers import FlowBalancer
 from .peer_groups import PeerGroup
+from .server_lists import ServerList
 
 # Flows listed in one dump; `flow_count` gives the number of all flows.
 MAX_DUMPED_FLOWS = 200
@@ -26,6 +27,8 @@
         "backend_servers": [
             _describe_server(server, now) for server in balancer.server_list.servers.values()
         ],
+        "drains_known": balancer.server_list.drains.known,
+        "drained_zones": _describe_drained_zones(balancer.server_list, now),
         "entry_vms": [vm.to_update() for vm in group.entry_vms.others()],
         "platform_failures": group.platform_failures,
         "flow_count": len(balancer.flows),
@@ -39,6 +42,20 @@
     return msgspec.json.encode(dump)
 
 
+def _describe_drained_zones(server_list: ServerList, now: float) -> list[dict[str, object]]:
+    zones = [server.zone for server in server_list.servers.values() if not server.gone]
+    return [
+        {
+            "zone": zone,
+            "servers": zones.count(zone),
+            "seconds": round(now - state.since, 3),
+            "era": state.version.era,
+            "revision": state.version.revision,
+        }
+        for zone, state in sorted(server_list.drains.drained_zones().items())
+    ]
+
+
 def _describe_server(server: BackendServer, now: float) -> dict[str, object]:
     evidence = server.responsiveness
     unlisted_since = server.unlisted_since
@@ -49,6 +66,7 @@
         "leaving": server.leaving,
         "gone": server.gone,
         "unverified": server.unverified,
+        "accepts_flows": server.accepts_work,
         "unlisted_seconds": None if unlisted_since is None else round(now - unlisted_since, 3),
         "in_progress": server.in_progress,
         "open_flows": server.open_flows,
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/flow_metrics.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterator
 
-from prometheus_client.core import HistogramMetricFamily, Metric
+from prometheus_client.core import GaugeMetricFamily, HistogramMetricFamily, Metric
 
 from .flow_balancers import FlowBalancer
 from .latencies import LATENCY_BOUNDS_SECONDS, LatencyHistogram
 from .metric_families import make_counter, make_gauge, render_collector
+from .server_lists import ServerList
 
 
 class FlowBalancerCollector:
@@ -28,6 +29,7 @@
         version = balancer.routes.version if balancer.routes else 0
         yield make_gauge("routes_version", "Version of the routes in force", version)
         yield make_gauge("ready", "1 while flows can be placed", balancer.ready)
+        yield _make_zones_gauge(balancer.server_list)
         yield _make_histogram(
             "flow_opening_seconds",
             "From a flow's first packet to the caller's answer to the server's",
@@ -45,6 +47,17 @@
     return render_collector(FlowBalancerCollector(balancer))
 
 
+def _make_zones_gauge(server_list: ServerList) -> GaugeMetricFamily:
+    """Returns the gauge of all zones that have servers or are drained."""
+    metric = GaugeMetricFamily(
+        "marjoramford_zone_drained", "1 while no new flow opens in the zone", labels=["zone"]
+    )
+    zones = {server.zone for server in server_list.servers.values() if not server.gone}
+    for zone in sorted(zones | server_list.drains.drained_zones().keys()):
+        metric.add_metric([zone], server_list.drains.is_drained(zone))
+    return metric
+
+
 def _make_histogram(name: str, text: str, latencies: LatencyHistogram) -> HistogramMetricFamily:
     buckets = []
     cumulative = 0
--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -182,15 +182,17 @@
         """Updates the servers of zones whose drain began or ended."""
         for zone in zones:
             state = self.drains.find(zone)
-            servers = [server for server in self.servers.values() if server.zone == zone]
-            for server in servers:
-                server.zone_drained = state.drained
+            count = 0
+            for server in self.servers.values():
+                if server.zone == zone:
+                    server.zone_drained = state.drained
+                    count += not server.gone
             log_event(
                 logger,
                 LogEvent.ZONE_DRAIN_BEGAN if state.drained else LogEvent.ZONE_DRAIN_ENDED,
                 zone=zone,
-                servers=len(servers),
-                has_servers=bool(servers),
+                servers=count,
+                has_servers=count > 0,
                 era=state.version.era,
                 revision=state.version.revision,
                 list_age=round(now - self.confirmed_at, 2),
--- a/marjoramford/tables.py
+++ b/marjoramford/tables.py
@@ -1,6 +1,7 @@
 """Results rendered as plain text."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 from .packet_experiments import PacketMeasures
 from .standins.demos import DemoReport
@@ -19,6 +20,21 @@
     )
 
 
+def render_zones(state: Mapping[str, Any]) -> str:
+    """Renders the zones in an entry VM's state dump, including drained ones without servers."""
+    servers = [server for server in state["backend_servers"] if not server["gone"]]
+    drained = {drain["zone"]: drain for drain in state["drained_zones"]}
+    rows = []
+    for zone in sorted({server["zone"] for server in servers} | drained.keys()):
+        in_zone = [server for server in servers if server["zone"] == zone]
+        accepting = sum(server["accepts_flows"] for server in in_zone)
+        drain = drained.get(zone)
+        since = f"{drain['seconds']:.1f} s" if drain else "-"
+        version = f"{drain['era']}.{drain['revision']}" if drain else "-"
+        rows.append((zone, len(in_zone), accepting, since, version))
+    return render_table(("zone", "servers", "accept flows", "drained for", "by version"), rows)
+
+
 def render_demo(deployment: str, report: DemoReport) -> str:
     """Renders the report of a demo."""
     rows = [
--- a/tests/test_flow_metrics.py
+++ b/tests/test_flow_metrics.py
@@ -5,14 +5,19 @@
 import os
 from random import Random
 
+import pytest
+
 from marjoramford.addresses import Address
+from marjoramford.commands import Commands
+from marjoramford.deferrals import run_deferred
 from marjoramford.entry_vms import EntryVm
 from marjoramford.flow_dumps import dump_state
 from marjoramford.flow_metrics import render_flow_metrics
 from marjoramford.logs import LogEvent, NonBlockingHandler, PlainFormatter, log_event
 from marjoramford.peer_groups import PeerGroup
+from marjoramford.tables import render_zones
 
-from .flow_worlds import SETTINGS, FlowWorld, record, snapshot
+from .flow_worlds import SETTINGS, FlowWorld, drain, record, removal, snapshot
 
 
 def busy_world():
@@ -54,6 +59,62 @@
     assert (dump["list_era"], dump["list_revision"], dump["routes_era"]) == (3, 7, 0)
 
 
+def dump_of(world):
+    own = Address("127.0.0.1", 3)
+    group = PeerGroup(EntryVm("front-1", 1, "a", own, own), (), SETTINGS.peers, Random(1))
+    return json.loads(dump_state(world.balancer, group))
+
+
+def drained_world():
+    """Zone a is drained and has one server that is gone; the drain of a zone without servers."""
+    world = FlowWorld(record("s-1"), record("s-2", 2), record("s-3", 3, zone="b"))
+    world.apply(removal("s-2", 101))
+    world.advance(3.0)
+    world.confirm()
+    world.advance(0.1)
+    world.apply(drain("a", 102))
+    world.apply(drain("nowhere", 103))
+    return world
+
+
+def test_drained_zones_are_gauges():
+    world = drained_world()
+    assert world.caller().open().server.name == "s-3"
+    text = render_flow_metrics(world.balancer).decode()
+    for line in ('{zone="a"} 1.0', '{zone="b"} 0.0', '{zone="nowhere"} 1.0'):
+        assert f"marjoramford_zone_drained{line}" in text
+    world.apply(drain("b", 104))
+    world.caller().open()
+    text = render_flow_metrics(world.balancer).decode()
+    assert 'marjoramford_packet_events_total{name="refused_zone_drained"} 1.0' in text
+
+
+def test_the_dump_and_the_table_of_zones_show_drains():
+    dump = dump_of(drained_world())
+    drained = [(d["zone"], d["servers"], d["era"], d["revision"]) for d in dump["drained_zones"]]
+    assert drained == [("a", 1, 0, 102), ("nowhere", 0, 0, 103)]
+    for zone in dump["drained_zones"]:
+        zone["seconds"] = 12.34
+    assert [line.split() for line in render_zones(dump).splitlines()] == [
+        ["zone", "servers", "accept", "flows", "drained", "for", "by", "version"],
+        ["a", "1", "0", "12.3", "s", "0.102"],
+        ["b", "1", "1", "-", "-"],
+        ["nowhere", "0", "0", "12.3", "s", "0.103"],
+    ]
+
+
+def test_the_command_prints_the_zones_of_an_entry_vm(monkeypatch, capsys):
+    dumps = [dump_of(drained_world()), {"backend_servers": []}]
+    monkeypatch.setattr("marjoramford.commands._get_json", lambda at, path: dumps.pop(0))
+    Commands().zones("127.0.0.1:7000")
+    run_deferred()
+    assert "nowhere" in capsys.readouterr().out
+    Commands().zones("127.0.0.1:7000")
+    with pytest.raises(SystemExit):
+        run_deferred()
+    assert "knows no drains" in capsys.readouterr().err
+
+
 def test_a_restore_is_logged_with_what_changed(caplog):
     logging.getLogger("marjoramford").propagate = True
     world = FlowWorld(record("s-1"), record("s-2"))
