Limits of cold servers are decoded and sent with the routes

Cause: the operator's config may limit the flows that open at a cold server, and the platform may give the factor and slack of the bound.

Change: RouteTable holds warmup_limits; RouteChanges carries the complete list only if it differs from the base's. entries.py decodes each service by itself, so an unreadable limit rejects nothing else and is logged (301). Settings cold_starts are rendered with and without each of the two platform bounds.

Result: tests/test_routes.py, test_platform_packets.py and test_flow_settings.py pass.

--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -109,6 +109,25 @@
     min_route_answers: Annotated[int, Meta(ge=1, le=10_000)] = 20
 
 
+class ColdStartSettings(_Section):
+    """Limit of the flows that open at a cold server, where the operator sets one for its service.
+
+    Over all entry VMs a cold server gets at most the operator's limit x `overage` + `slack` opening
+    packets in any second.
+
+    Attributes:
+        overage: factor of the bound.
+        slack: openings added to the bound.
+        settle_seconds: an entry VM that has just started opens flows at cold servers once it has
+            learned of no further member of its zone for this time, in seconds; three exchanges
+            between peers.
+    """
+
+    overage: Annotated[float, Meta(ge=0, le=100)] = 1.5
+    slack: Annotated[float, Meta(ge=0, le=1e6)] = 5.0
+    settle_seconds: Seconds = 6.0
+
+
 class ListSettings(_Section):
     """How long servers are kept after they leave the published list.
 
@@ -231,6 +250,7 @@
     silence: SilenceSettings = SilenceSettings()
     placement: PlacementSettings = PlacementSettings()
     overload: OverloadSettings = OverloadSettings()
+    cold_starts: ColdStartSettings = ColdStartSettings()
     servers: ListSettings = ListSettings()
     reads: ReadSettings = ReadSettings()
     peers: PeerSettings = PeerSettings()
--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -5,6 +5,7 @@
 after an invalid entry of routes the previous routes stay.
 """
 
+import logging
 import socket
 from base64 import b64decode
 from typing import Annotated, Literal, TypeVar
@@ -15,15 +16,20 @@
 
 from ..addresses import Address
 from ..json_bodies import decode_json
+from ..logs import LogEvent, log_event
 from ..records import VmRecord
-from ..routes import Route, RouteTable, WeightedService
+from ..routes import Route, RouteTable, WarmupLimit, WeightedService
 from .packets import server_number
 
+logger = logging.getLogger(__name__)
+
 SERVER_PREFIX = "servers/"
 ROUTES_KEY = "op/config"
 # Far above any real weight; keeps sums of weights finite.
 MAX_WEIGHT = 1e9
 MAX_PORT = 65535
+# Far above what a server can handle.
+MAX_WARMUP_PER_SECOND = 1e6
 
 T = TypeVar("T")
 
@@ -72,10 +78,18 @@
     idle_timeout_ms: Annotated[float, Meta(gt=0)] = 60_000
 
 
+class _Service(msgspec.Struct, frozen=True):
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    # Requests per second that a cold server handles; 0 if there is no limit.
+    warmup_per_s: Annotated[float, Meta(ge=0, le=MAX_WARMUP_PER_SECOND)] = 0
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     limits: _Limits = _Limits()
+    # Decoded one by one, so that an invalid one rejects nothing else.
+    services: msgspec.Raw = msgspec.Raw(b"[]")
 
 
 def decode_server(item: StoreItem, now: float) -> Result[VmRecord, str]:
@@ -114,7 +128,7 @@
     """Decodes the operator's routes, read in an era of the store.
 
     Routes whose host cannot be parsed, whose port is none, or without a service of positive weight
-    are left out.
+    are left out, and so are limits of services that cannot be decoded.
     """
     return _decode_value(item, _Config).map(lambda config: _make_table(config, era))
 
@@ -129,7 +143,33 @@
 
 def _make_table(config: _Config, era: int) -> RouteTable:
     routes = tuple(route for route in map(_decode_route, config.routes) if route is not None)
-    return RouteTable(config.version, routes, config.limits.idle_timeout_ms / 1000, era)
+    idle_timeout = config.limits.idle_timeout_ms / 1000
+    return RouteTable(config.version, routes, idle_timeout, era, _decode_limits(config.services))
+
+
+def _decode_limits(services: msgspec.Raw) -> tuple[WarmupLimit, ...]:
+    limits: dict[str, WarmupLimit] = {}
+    match decode_json(services, tuple[msgspec.Raw, ...] | None):
+        case Ok(items):
+            for item in items or ():
+                match decode_json(item, _Service):
+                    case Ok(service) if service.warmup_per_s > 0:
+                        limits[service.name] = WarmupLimit(service.name, service.warmup_per_s)
+                    case Err(reason):
+                        log_event(
+                            logger,
+                            LogEvent.CATALOGUE_ENTRY_REJECTED,
+                            key=ROUTES_KEY,
+                            reason=f"a service has no limit: {reason}",
+                        )
+        case Err(reason):
+            log_event(
+                logger,
+                LogEvent.CATALOGUE_ENTRY_REJECTED,
+                key=ROUTES_KEY,
+                reason=f"no service has a limit: {reason}",
+            )
+    return tuple(limits.values())
 
 
 def _decode_route(route: _Route) -> Route | None:
--- a/marjoramford/routes.py
+++ b/marjoramford/routes.py
@@ -38,6 +38,13 @@
         return random.choices(self.services, weights)[0].name
 
 
+class WarmupLimit(msgspec.Struct, frozen=True):
+    """The flows per second that may open at each cold server of a service."""
+
+    service: str
+    flows_per_second: Annotated[float, Meta(gt=0)]
+
+
 class RouteChanges(msgspec.Struct, frozen=True, omit_defaults=True):
     """A delta between two versions of the routes, or a whole table.
 
@@ -49,6 +56,8 @@
         removed: addresses (IP and port) whose routes were removed.
         era: era in which the platform held the version.
         base_era: era of the base.
+        warmup_limits: all limits of the new version if they differ from those of the base, else
+            None; a whole table has no base limits.
     """
 
     version: int
@@ -58,6 +67,7 @@
     removed: tuple[tuple[int, int], ...] = ()
     era: Annotated[int, Meta(ge=0)] = 0
     base_era: Annotated[int, Meta(ge=0)] = 0
+    warmup_limits: tuple[WarmupLimit, ...] | None = None
 
 
 class RouteTable:
@@ -71,13 +81,23 @@
         routes: all routes, at most one for each public address.
         idle_timeout: a flow that is idle for longer may be forgotten, in seconds.
         era: era in which the platform held this version.
+        warmup_limits: limits for cold servers, at most one for each service.
     """
 
-    def __init__(self, version: int, routes: tuple[Route, ...], idle_timeout: float, era: int = 0):
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        idle_timeout: float,
+        era: int = 0,
+        warmup_limits: tuple[WarmupLimit, ...] = (),
+    ):
         self.version = version
         self.era = era
         self.idle_timeout = idle_timeout
+        self.warmup_limits = warmup_limits
         self._by_address = {(route.ip, route.port): route for route in routes}
+        self._limits = {limit.service: limit.flows_per_second for limit in warmup_limits}
 
     def __len__(self) -> int:
         return len(self._by_address)
@@ -88,14 +108,19 @@
         return self.version, self.era
 
     def has_content_of(self, other: "RouteTable") -> bool:
-        """Returns whether both tables hold the same routes and idle timeout."""
+        """Returns whether both tables hold the same routes, idle timeout and limits."""
         same_timeout = self.idle_timeout == other.idle_timeout
-        return same_timeout and self._by_address == other._by_address
+        same_limits = self._limits == other._limits
+        return same_timeout and same_limits and self._by_address == other._by_address
 
     def find(self, ip: int, port: int) -> Route | None:
         """Returns the route of a public address, or None."""
         return self._by_address.get((ip, port))
 
+    def warmup_limit(self, service: str) -> float:
+        """Returns the flows per second that may open at a cold server; 0 if there is no limit."""
+        return self._limits.get(service, 0.0)
+
     def routes(self) -> tuple[Route, ...]:
         """Returns all routes."""
         return tuple(self._by_address.values())
@@ -108,7 +133,14 @@
         )
         removed = tuple(address for address in old_routes if address not in new_routes)
         return RouteChanges(
-            self.version, base.version, self.idle_timeout, changed, removed, self.era, base.era
+            self.version,
+            base.version,
+            self.idle_timeout,
+            changed,
+            removed,
+            self.era,
+            base.era,
+            None if self._limits == base._limits else self.warmup_limits,
         )
 
     def with_changes(self, changes: RouteChanges) -> "RouteTable":
@@ -118,8 +150,13 @@
             address: route for address, route in self._by_address.items() if address not in removed
         }
         routes |= {(route.ip, route.port): route for route in changes.routes}
+        limits = changes.warmup_limits
         return RouteTable(
-            changes.version, tuple(routes.values()), changes.idle_timeout, changes.era
+            changes.version,
+            tuple(routes.values()),
+            changes.idle_timeout,
+            changes.era,
+            self.warmup_limits if limits is None else limits,
         )
 
 
@@ -161,6 +198,11 @@
         base = None if era is None and newest.era else self._tables.get(known)
         if base is None:
             return RouteChanges(
-                newest.version, 0, newest.idle_timeout, newest.routes(), era=newest.era
+                newest.version,
+                0,
+                newest.idle_timeout,
+                newest.routes(),
+                era=newest.era,
+                warmup_limits=newest.warmup_limits or None,
             )
         return newest.diff_from(base)
--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -80,7 +80,9 @@
 
 
 @pytest.mark.parametrize("link_mbps", [5.0, None])
-def test_the_rendered_template_is_a_valid_file(tmp_path, link_mbps):
+@pytest.mark.parametrize("overage", [2.0, None])
+@pytest.mark.parametrize("slack", [3, None])
+def test_the_rendered_template_is_a_valid_file(tmp_path, link_mbps, overage, slack):
     values = {
         "node": "front-a-1",
         "zone": "a",
@@ -92,10 +94,14 @@
         "bounds.flow_max_s": 60,
         "bounds.grace_s": 6,
         "limits.link_mbps": link_mbps,
+        "bounds.warmup_overage": overage,
+        "bounds.warmup_slack": slack,
     }
     filled = render((ROOT / "deploy" / "entry-vm.json").read_text(), values)
     settings = read_packet_settings(write(tmp_path, json.loads(filled))).unwrap()
     assert settings.link_mbps == (link_mbps or 0.0)
+    assert settings.cold_starts.overage == (overage or 1.5)
+    assert settings.cold_starts.slack == (slack or 5.0)
     assert settings.name == "front-a-1"
     assert settings.stop.grace_seconds == 6.0
 
--- a/tests/test_platform_packets.py
+++ b/tests/test_platform_packets.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the platform's packets and entries."""
 
+import logging
 import struct
 from base64 import b64encode
 
@@ -144,6 +145,37 @@
     assert table.find(0xC6120001, 8080).target_seconds == 0.25
 
 
+def test_limits_of_cold_servers_are_decoded_for_each_service():
+    services = [{"name": "a", "warmup_per_s": 4, "warmup_s": 10}, {"name": "b"}]
+    table = decode_routes(item(CONFIG | {"services": services}, key="op/config")).unwrap()
+    assert (table.warmup_limit("a"), table.warmup_limit("b")) == (4.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    "services",
+    [
+        None,
+        7,
+        {"name": "b"},
+        [7, "x", None, {}, []],
+        [{"name": "b", "warmup_per_s": -1}],
+        [{"name": "b", "warmup_per_s": "many"}],
+        [{"name": "b", "warmup_per_s": 1e300}],
+        [{"name": "", "warmup_per_s": 1}],
+    ],
+)
+def test_an_unreadable_limit_rejects_nothing_else(services, caplog):
+    if isinstance(services, list):
+        services = [*services, {"name": "a", "warmup_per_s": 4}]
+    logging.getLogger("marjoramford").propagate = True
+    with caplog.at_level(logging.INFO, logger="marjoramford"):
+        table = decode_routes(item(CONFIG | {"services": services}, key="op/config")).unwrap()
+    assert len(table) == 2
+    assert table.warmup_limit("a") == (4.0 if isinstance(services, list) else 0.0)
+    assert table.warmup_limit("b") == 0.0
+    assert services is None or any(line.event == 301 for line in caplog.records)
+
+
 def test_server_numbers_are_the_hex_digits_of_the_id():
     assert server_number("i-00ff") == struct.pack(">Q", 255)
     assert len(server_number("i-" + "f" * 20)) == 8
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.routes import Route, RouteHistory, RouteTable, WeightedService
+from marjoramford.routes import Route, RouteHistory, RouteTable, WarmupLimit, WeightedService
 
 
 def route(port, service="a"):
@@ -83,3 +83,41 @@
     history = RouteHistory(4)
     history.add(RouteTable(1, (route(1),), 15.0))
     assert b"era" not in msgspec.json.encode(history.changes_since(0))
+
+
+limits = st.dictionaries(st.sampled_from("ab"), st.sampled_from([1.0, 2.5]))
+
+
+@given(st.lists(limits, min_size=1, max_size=6), st.integers(0, 6))
+def test_deltas_carry_the_limits_of_cold_servers_from_any_version(contents, asked):
+    history = RouteHistory(4)
+    made = [RouteTable(0, (), 15.0)]
+    for version, content in enumerate(contents, 1):
+        made.append(
+            RouteTable(
+                version, (route(1),), 15.0, 0, tuple(WarmupLimit(*pair) for pair in content.items())
+            )
+            if content
+            else RouteTable(version, (route(1),), 15.0)
+        )
+        history.add(made[-1])
+    changes = history.changes_since(asked)
+    if changes is None:
+        return
+    sent = msgspec.json.decode(msgspec.json.encode(changes), type=type(changes))
+    base = made[0] if sent.base == 0 else made[sent.base]
+    assert base.with_changes(sent).has_content_of(made[-1])
+    if sent.base and contents[sent.base - 1] == contents[-1]:
+        assert sent.warmup_limits is None
+
+
+def test_a_change_of_the_limits_alone_is_a_change_of_content():
+    first = RouteTable(1, (route(1),), 15.0, 0, (WarmupLimit("a", 5.0),))
+    assert not first.has_content_of(RouteTable(1, (route(1),), 15.0, 1))
+    assert (first.warmup_limit("a"), first.warmup_limit("b")) == (5.0, 0.0)
+
+
+def test_a_table_without_limits_sends_nothing_of_them():
+    history = RouteHistory(4)
+    history.add(RouteTable(1, (route(1),), 15.0))
+    assert b"warmup" not in msgspec.json.encode(history.changes_since(0))
