A few entry VMs of its zone open flows at a cold server under a limit

Cause: when the servers of a zone come back together, every entry VM sees them as idle and opens flows there at once.

Change: cold_starts.py splits the limit of each cold server among holders of its zone by rendezvous hash, each with a token bucket. Placement, late copies of opening packets and the overload estimate use it; the timer passes the members of the zone.

--- a/marjoramford/entry_vms.py
+++ b/marjoramford/entry_vms.py
@@ -155,6 +155,10 @@
         """Returns the other entry VMs to which datagrams may be sent."""
         return [vm for vm in self._others.values() if vm.is_reachable]
 
+    def has_announced_leave(self, vm: EntryVm) -> bool:
+        """Returns whether the incarnation is known to have begun its planned stop."""
+        return self._is_leaving(vm)
+
     def is_in_minority(self) -> bool:
         """Returns whether more than half of the others that have not left are suspect or lost."""
         if self._in_minority is None:
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from .backend_servers import BackendServer
+from .cold_starts import ColdStartControl
 from .failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
@@ -66,6 +67,7 @@
         self._overload_controls: dict[str, OverloadControl] = {}
         self._last_tick_at = now
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
+        self.cold_starts = ColdStartControl(settings.name, settings.zone, settings.cold_starts, now)
         self.server_list = ServerList(settings.servers)
         self.route_history = RouteHistory(MAX_ROUTE_TABLES)
         self.entry_vm_count = 1
@@ -124,9 +126,11 @@
         """
         current = self._routes
         if changes.base == 0:
-            self.apply_routes(
-                RouteTable(changes.version, changes.routes, changes.idle_timeout, changes.era)
+            limits = changes.warmup_limits or ()
+            table = RouteTable(
+                changes.version, changes.routes, changes.idle_timeout, changes.era, limits
             )
+            self.apply_routes(table)
         elif current is not None and current.order == (changes.base, changes.base_era):
             self.apply_routes(current.with_changes(changes))
 
@@ -174,7 +178,7 @@
             return self._refuse(header.flow, "overload")
         server = self._place(service, (), now)
         if server is None:
-            return self._refuse(header.flow, "no server")
+            return self._refuse(header.flow, self._explain_no_server(service))
         label = derive_label(server.name, server.incarnation)
         flow = PacketFlow(header.flow, server, label, True, now, now, waiting_since=now)
         flow.first_sequence = header.sequence
@@ -187,16 +191,22 @@
         if control is None or not control.refuses(route, now, self._random):
             return False
         # Judged again for each flow: slots may have become free since the last tick.
-        return self._are_slots_taken(service)
+        return self._are_slots_taken(service, now)
 
-    def _are_slots_taken(self, service: str) -> bool:
+    def _are_slots_taken(self, service: str, now: float) -> bool:
         servers = self.server_list.servers.of_service(service)
-        return are_slots_taken(servers, self.entry_vm_count, self._settings.overload.queued_share)
+        return are_slots_taken(
+            servers,
+            self.entry_vm_count,
+            self._settings.overload.queued_share,
+            self.warmup_limit(service),
+            now,
+        )
 
     def _update_overload_controls(self, now: float) -> None:
         for service, control in self._overload_controls.items():
             was_refusing = control.level > 0
-            control.update(self._are_slots_taken(service), now)
+            control.update(self._are_slots_taken(service, now), now)
             if was_refusing != (control.level > 0):
                 log_overload(service, control)
 
@@ -205,18 +215,25 @@
 
         The flow moves if its server has not answered on any flow since it was first sent this
         packet, or if it accepts no more work. The flow stays if no other server can take it, and in
-        any case for the first `copy_seconds` at each server.
+        any case for the first `copy_seconds` at each server. Later a copy to a cold server needs a
+        token or goes elsewhere; it is dropped if no server can take it, since a reset could hit a
+        flow that has just opened.
         """
         flow.active_at = now
         server = flow.server
         answered = server.responsiveness.answered_at >= flow.waiting_since
         within_copy_interval = now - flow.waiting_since < self._settings.placement.copy_seconds
-        if within_copy_interval or (answered and server.accepts_work):
+        if within_copy_interval:
+            return Forward(server, flow.label)
+        if answered and server.accepts_work and self._take_token(server, now):
             return Forward(server, flow.label)
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
+        if alternative is None and not self._take_token(server, now):
+            self.counters["cold_refused"] += 1
+            return self._drop("cold server")
         if alternative is None or alternative is server:
             return Forward(server, flow.label)
         self._end_flow(flow)
@@ -231,14 +248,45 @@
     def _place(
         self, service: str, avoided: tuple[BackendServer, ...], now: float
     ) -> BackendServer | None:
-        return choose_server(
-            self.server_list.servers.of_service(service),
+        servers = self.server_list.servers.of_service(service)
+        limit = self.warmup_limit(service)
+        if limit:
+            servers = [s for s in servers if self.cold_starts.may_open(s, limit, now)]
+        server = choose_server(
+            servers,
             avoided,
             self._settings.zone,
             now,
             self._settings.placement,
             self._random,
         )
+        if server is not None:
+            self._record_cold_opening(server, now)
+        return server
+
+    def warmup_limit(self, service: str) -> float:
+        """Returns the flows per second that may open at a cold server; 0 if there is no limit."""
+        return self._routes.warmup_limit(service) if self._routes else 0.0
+
+    def _take_token(self, server: BackendServer, now: float) -> bool:
+        """Takes a token for an opening packet if the server's limit applies and there is one."""
+        if not self.cold_starts.may_open(server, self.warmup_limit(server.service), now):
+            return False
+        self._record_cold_opening(server, now)
+        return True
+
+    def _record_cold_opening(self, server: BackendServer, now: float) -> None:
+        limit = self.warmup_limit(server.service)
+        if self.cold_starts.record_opening(server, limit, now):
+            self.counters["cold_openings"] += 1
+
+    def _explain_no_server(self, service: str) -> str:
+        """Returns why no server can take a flow, and counts the refusal if servers are cold."""
+        servers = self.server_list.servers.of_service(service)
+        if not any(server.accepts_work for server in servers):
+            return "no server"
+        self.counters["cold_refused"] += 1
+        return "cold servers"
 
     def _continue_flow(self, header: PacketHeader, now: float) -> PacketAction:
         flow = self._flows.get(header.flow)
--- a/marjoramford/overload_controls.py
+++ b/marjoramford/overload_controls.py
@@ -19,12 +19,16 @@
 import msgspec
 
 from .backend_servers import BackendServer
+from .cold_starts import is_limited
 from .flow_settings import OverloadSettings
 from .routes import Route
 
 # Answers of one server that count. While a server turns half of its requests away, all of them are
 # quick in 1 of 16 cases.
 LATEST_ANSWERS = 4
+# Work of the longest requests of the deployments (5 to 72 ms). The openings of a limited server
+# occupy at most this time each; a longer time counts more slots and so refuses less.
+LONGEST_WORK_SECONDS = 0.072
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -171,7 +175,13 @@
         return slowest[len(slowest) // 2]
 
 
-def are_slots_taken(servers: Iterable[BackendServer], entry_vms: int, queued_share: float) -> bool:
+def are_slots_taken(
+    servers: Iterable[BackendServer],
+    entry_vms: int,
+    queued_share: float,
+    warmup_limit: float = 0.0,
+    now: float = 0.0,
+) -> bool:
     """Returns whether the slots of a service are taken and requests wait for them.
 
     The requests of all entry VMs are extrapolated from those in progress through this one.
@@ -180,7 +190,17 @@
         servers: the servers of the service.
         entry_vms: entry VMs that share the load, with this one.
         queued_share: waiting requests that are required, as a share of the slots.
+        warmup_limit: flows per second that may open at a cold server; 0 if there is no limit.
+        now: time on the monotonic clock, in seconds.
     """
     listed = [server for server in servers if server.unlisted_since is None]
     in_progress = sum(server.in_progress for server in listed) * entry_vms
-    return in_progress > (1 + queued_share) * sum(server.slots for server in listed)
+    slots = sum(_count_slots(server, warmup_limit, now) for server in listed)
+    return in_progress > (1 + queued_share) * slots
+
+
+def _count_slots(server: BackendServer, warmup_limit: float, now: float) -> float:
+    """Returns the slots of a server; of a cold one only as many as its limit can occupy."""
+    if not is_limited(server, warmup_limit, now):
+        return server.slots
+    return min(server.slots, warmup_limit * LONGEST_WORK_SECONDS)
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -250,7 +250,15 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
             self.balancer.entry_vm_count = len(self._group.entry_vms.active()) + 1
-            packets.run_tick(time.monotonic())
+            now = time.monotonic()
+            self.update_members(now)
+            packets.run_tick(now)
+
+    def update_members(self, now: float) -> None:
+        """Passes the members of the zone to the balancer, once any other entry VM is known."""
+        members = self._group.zone_members()
+        if members is not None:
+            self.balancer.cold_starts.update_members(members.present, members.lost, now)
 
     def _stop_after_failure(self) -> None:
         self._failed.set()
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -54,6 +54,18 @@
     return max(settings.min_readers, math.isqrt(members) // 2)
 
 
+class ZoneMembers(msgspec.Struct, frozen=True):
+    """The entry VMs of this zone, by name.
+
+    Attributes:
+        present: those that are reachable or suspect, with this one.
+        lost: those that are lost and had not announced that they leave.
+    """
+
+    present: list[str]
+    lost: list[str]
+
+
 class PeerGroup:
     """The known entry VMs and the choice of the source to read the state from.
 
@@ -132,6 +144,24 @@
             return self._random.choice(self._seeds), None
         return None
 
+    def zone_members(self) -> ZoneMembers | None:
+        """Returns the members of this zone.
+
+        None while no other entry VM is known although there are seeds: this entry VM has just
+        started, and may be cut off.
+        """
+        if self._seeds and not len(self.entry_vms):
+            return None
+        own = self.entry_vms.own
+        others = [vm for vm in self.entry_vms.others() if vm.zone == own.zone]
+        present = [vm.name for vm in others if vm.is_reachable]
+        lost = [
+            vm.name
+            for vm in others
+            if vm.state == "lost" and not self.entry_vms.has_announced_leave(vm)
+        ]
+        return ZoneMembers([own.name, *present], lost)
+
     def record_exchange(self, partner: EntryVm | None, answered: bool, now: float) -> None:
         """Confirms a gossip partner as alive, or suspects it if it did not answer."""
         if partner is None:
