--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/flow_dumps.py
@@ -25,7 +25,8 @@
         "list_revision": balancer.server_list.version.revision,
         "list_age_seconds": round(now - balancer.server_list.confirmed_at, 3),
         "backend_servers": [
-            _describe_server(server, now) for server in balancer.server_list.servers.values()
+            _describe_server(server, balancer, now)
+            for server in balancer.server_list.servers.values()
         ],
         "drains_known": balancer.server_list.drains.known,
         "drained_zones": _describe_drained_zones(balancer.server_list, now),
@@ -56,10 +57,12 @@
     ]
 
 
-def _describe_server(server: BackendServer, now: float) -> dict[str, object]:
+def _describe_server(
+    server: BackendServer, balancer: FlowBalancer, now: float
+) -> dict[str, object]:
     evidence = server.responsiveness
     unlisted_since = server.unlisted_since
-    return {
+    description = {
         "name": server.name,
         "service": server.service,
         "zone": server.zone,
@@ -73,3 +76,8 @@
         "unanswered": evidence.unanswered,
         "doubted": evidence.suspected_until > now,
     }
+    if server.warm_at > now:
+        limit = balancer.warmup_limit(server.service)
+        share = balancer.cold_starts.describe(server, limit, now)
+        description["cold"] = {"seconds_left": round(server.warm_at - now, 2), **share}
+    return description
