Reset idle flows of dead servers at once

Cause: after a server died, requests that are not idempotent were lost on flows that had been idle: the reset answered the request itself. Change: with shared_evidence.enabled (default false), a tick resets the idle flows of a server that is gone from the list, or that has left it while recent retransmissions here reach the thresholds of a listed server and the own link is not suspected. No flow is reset in the tick after a stall. The settings template enables it where bounds.evacuation_ms is set.

--- a/marjoramford/failure_detectors.py
+++ b/marjoramford/failure_detectors.py
@@ -197,3 +197,28 @@
         return False
     enough = server.unanswered >= factor * settings.dead_retransmissions
     return enough and silence >= factor * settings.dead_seconds
+
+
+def is_idle_flow_dead(
+    server: Responsiveness,
+    list_status: ListStatus,
+    lossy: bool,
+    now: float,
+    settings: SilenceSettings,
+    link_suspected: bool,
+) -> bool:
+    """Returns whether idle flows of a server may be reset, before their callers' next requests.
+
+    The list must say that the server is gone, or must lack it while other flows show here that it
+    is dead. The thresholds are those of a listed server, since idle flows add no evidence of their
+    own, and the evidence must be recent.
+    """
+    unlisted_since = list_status.unlisted_since
+    if unlisted_since is None or server.answered_at >= unlisted_since:
+        return False
+    if list_status.gone:
+        return True
+    if link_suspected or now - server.counted_at > MAX_RETRANSMISSION_GAP_SECONDS:
+        return False
+    as_listed = ListStatus(None, False)
+    return is_dead(server, as_listed, server.unanswered, lossy, now, settings)
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -15,7 +15,13 @@
 import msgspec
 
 from .backend_servers import BackendServer
-from .failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
+from .failure_detectors import (
+    ListStatus,
+    LossDetector,
+    OwnLinkMonitor,
+    is_dead,
+    is_idle_flow_dead,
+)
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
 from .flow_settings import PacketVmSettings
@@ -147,12 +153,15 @@
         A pause of more than `silence.stall_seconds` between two calls counts as a stall of this
         process. All evidence of silent servers is then discarded.
         """
-        if self._is_stalled(now):
+        was_stalled = self._is_stalled(now)
+        if was_stalled:
             self._discard_evidence(now)
         self._last_tick_at = now
         self.server_list.expire(now)
         self._update_overload_controls(now)
         resets = self._reset_flows_of_dead_servers(now)
+        if self._settings.shared_evidence.enabled and not was_stalled:
+            resets += self._reset_idle_flows(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
             self._evict_expired_flows(now)
@@ -422,6 +431,38 @@
                 resets.append(FlowReset(flow.key, flow.acknowledged))
         return resets
 
+    def _reset_idle_flows(self, now: float) -> list[FlowReset]:
+        """Resets idle flows of dead servers, so that the callers' next requests open new flows."""
+        dead_servers = [
+            server
+            for server in self._servers_with_flows()
+            if self._are_idle_flows_dead(server, now)
+        ]
+        if not dead_servers:
+            return []
+        resets = []
+        for flow in list(self._flows):
+            busy = flow.opening or flow.closing or flow.waiting_since is not None
+            if not busy and flow.server in dead_servers:
+                self._end_flow(flow)
+                self._log_dead_server(flow, now)
+                self.counters["reset_idle"] += 1
+                resets.append(FlowReset(flow.key, flow.acknowledged))
+        return resets
+
+    def _servers_with_flows(self) -> list[BackendServer]:
+        return list({id(flow.server): flow.server for flow in self._flows}.values())
+
+    def _are_idle_flows_dead(self, server: BackendServer, now: float) -> bool:
+        return is_idle_flow_dead(
+            server.responsiveness,
+            ListStatus(server.unlisted_since, server.gone),
+            self._loss_detector.is_lossy(now),
+            now,
+            self._settings.silence,
+            self._is_link_suspected(server, now),
+        )
+
     def _evict_expired_flows(self, now: float) -> None:
         max_age_seconds = self._settings.flow_max_seconds
         idle_seconds = min(
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -57,6 +57,16 @@
     own_link_seconds: Seconds = 3.0
 
 
+class SharedEvidenceSettings(_Section):
+    """Evidence of dead servers beyond that of this entry VM's own waiting flows.
+
+    Attributes:
+        enabled: whether idle flows of dead servers are reset, and evidence is shared in the zone.
+    """
+
+    enabled: bool = False
+
+
 class PlacementSettings(_Section):
     """Weights for the placement of new flows.
 
@@ -229,6 +239,7 @@
     max_flows: Annotated[int, Meta(ge=1, le=10_000_000)] = 50_000
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     silence: SilenceSettings = SilenceSettings()
+    shared_evidence: SharedEvidenceSettings = SharedEvidenceSettings()
     placement: PlacementSettings = PlacementSettings()
     overload: OverloadSettings = OverloadSettings()
     servers: ListSettings = ListSettings()
--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -80,7 +80,8 @@
 
 
 @pytest.mark.parametrize("link_mbps", [5.0, None])
-def test_the_rendered_template_is_a_valid_file(tmp_path, link_mbps):
+@pytest.mark.parametrize("evacuation_ms", [5000, None])
+def test_the_rendered_template_is_a_valid_file(tmp_path, link_mbps, evacuation_ms):
     values = {
         "node": "front-a-1",
         "zone": "a",
@@ -92,11 +93,13 @@
         "bounds.flow_max_s": 60,
         "bounds.grace_s": 6,
         "limits.link_mbps": link_mbps,
+        "bounds.evacuation_ms": evacuation_ms,
     }
     filled = render((ROOT / "deploy" / "entry-vm.json").read_text(), values)
     settings = read_packet_settings(write(tmp_path, json.loads(filled))).unwrap()
     assert settings.link_mbps == (link_mbps or 0.0)
     assert settings.name == "front-a-1"
+    assert settings.shared_evidence.enabled is (evacuation_ms is not None)
     assert settings.stop.grace_seconds == 6.0
 
 
