Shared evidence of dead servers: sum, verdict and its use

Cause: each entry VM finds a dead server from its own few flows only, after one flow was retransmitted three times; idle flows lose a request each. With shared_evidence.enabled false nothing of this runs.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -33,6 +33,7 @@
 from .placements import choose_server
 from .routes import Route, RouteChanges, RouteHistory, RouteTable
 from .server_lists import ServerList
+from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey, Verdicts
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +43,8 @@
 MAX_UNKNOWN_LABELS = 1024
 # Route tables kept to compute deltas for followers that are behind; a burst of changes is shorter.
 MAX_ROUTE_TABLES = 32
+# A condemned server is suspected for this long, again at each tick; several ticks.
+AVOID_SECONDS = 0.3
 # How long a half-closed flow stays in the table after its caller's last packet; several of the
 # longest retransmission intervals.
 CLOSED_FLOW_TTL_SECONDS = 5.0
@@ -59,6 +62,7 @@
 
     Attributes:
         entry_vm_count: entry VMs that share the load, with this one.
+        verdicts: which servers a reader of the zone considers dead.
     """
 
     def __init__(self, settings: PacketVmSettings, random: Random, now: float):
@@ -75,6 +79,7 @@
         self.server_list = ServerList(settings.servers)
         self.route_history = RouteHistory(MAX_ROUTE_TABLES)
         self.entry_vm_count = 1
+        self.verdicts = Verdicts(settings.name, settings.shared_evidence)
         self.counters: Counter[str] = Counter()
         self.opening_latencies = LatencyHistogram()
         self.answer_latencies = LatencyHistogram()
@@ -94,6 +99,11 @@
         """Whether routes and servers are known, so that flows can be placed."""
         return self._routes is not None and self.server_list.loaded
 
+    @property
+    def shares_evidence(self) -> bool:
+        """Whether evidence of dead servers beyond that of waiting flows here is used."""
+        return self._settings.shared_evidence.enabled
+
     @property
     def refusal_levels(self) -> dict[str, float]:
         """The refusal level of each service that answered requests lately."""
@@ -159,14 +169,78 @@
         self._last_tick_at = now
         self.server_list.expire(now)
         self._update_overload_controls(now)
+        self._avoid_condemned_servers(now)
         resets = self._reset_flows_of_dead_servers(now)
-        if self._settings.shared_evidence.enabled and not was_stalled:
+        if self.shares_evidence and not was_stalled:
             resets += self._reset_idle_flows(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
             self._evict_expired_flows(now)
         return resets
 
+    def apply_evidence(self, evidence: PublishedEvidence | None, now: float) -> None:
+        """Puts the decisions of a reader on dead servers in force, in place of earlier ones."""
+        self.verdicts.apply(evidence, now)
+        self._avoid_condemned_servers(now)
+
+    def find_silences(self, now: float) -> dict[ServerKey, LocalSilence]:
+        """Returns this entry VM's evidence of servers that are silent, from its open flows."""
+        if self._is_stalled(now):
+            return {}
+        silences = self.verdicts.find_silent_openings(now)
+        latest = now - self._settings.shared_evidence.unanswered_seconds
+        for flow in self._flows:
+            server, waiting_since = flow.server, flow.waiting_since
+            if flow.opening or waiting_since is None or not flow.rounds.count:
+                continue
+            answered_at = server.responsiveness.answered_at
+            if waiting_since < answered_at or flow.rounds.began_at > latest or flow.is_stale(now):
+                continue
+            silence = silences.get(_key_of(server))
+            if silence is None:
+                repeated_at = flow.rounds.began_at
+                silence = LocalSilence(0, waiting_since, repeated_at, repeated_at, answered_at)
+                silence.lossy = self._loss_detector.is_lossy(now)
+                silence.link_suspected = self._is_link_suspected(server, now)
+                silence.decided = self._is_dead(flow, now)
+                silences[_key_of(server)] = silence
+            silence.flows += 1
+            silence.silent_since = min(silence.silent_since, waiting_since)
+            silence.repeated_at = min(silence.repeated_at, flow.rounds.began_at)
+            silence.latest_at = max(silence.latest_at, flow.rounds.began_at)
+        return silences
+
+    def find_objections(self, now: float) -> dict[ServerKey, float]:
+        """Returns the servers in question that have answered here, with the time of the answer."""
+        answers = (
+            (_key_of(server), server.responsiveness.answered_at)
+            for server in self.server_list.servers.values()
+        )
+        return self.verdicts.find_objections(answers, now)
+
+    def find_answer(self, key: ServerKey) -> float:
+        """Returns when a server last answered here; minus infinity if it has not."""
+        server = self.server_list.servers.get(key[0])
+        if server is None or server.incarnation != key[1]:
+            return float("-inf")
+        return server.responsiveness.answered_at
+
+    def is_running(self, key: ServerKey) -> bool:
+        """Whether this incarnation of a server is known and not gone."""
+        server = self.server_list.servers.get(key[0])
+        return server is not None and server.incarnation == key[1] and not server.gone
+
+    def is_condemned(self, server: BackendServer, now: float) -> bool:
+        """Whether the zone considers a server dead and nothing here contradicts it."""
+        if not self.shares_evidence or self._is_stalled(now):
+            return False
+        answered_at = server.responsiveness.answered_at
+        return self.verdicts.is_condemned(_key_of(server), answered_at, now)
+
+    def count_condemned(self, now: float) -> int:
+        """Returns how many servers are considered dead here on the zone's evidence."""
+        return sum(self.is_condemned(server, now) for server in self.server_list.servers.values())
+
     def _open_flow(self, header: PacketHeader, now: float) -> PacketAction:
         flow = self._flows.get(header.flow)
         if flow is not None and flow.first_sequence == header.sequence:
@@ -225,6 +299,7 @@
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
+            self.verdicts.record_silent_opening(_key_of(server), flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
         if alternative is None or alternative is server:
             return Forward(server, flow.label)
@@ -275,6 +350,10 @@
             self._end_flow(flow)
             self._log_dead_server(flow, now)
             return ResetFlow("server is dead")
+        if self.is_condemned(server, now) and not (header.aborts or header.closes):
+            self._end_flow(flow)
+            self._log_dead_server(flow, now, "condemned")
+            return ResetFlow("condemned")
         if header.aborts:
             self._end_flow(flow)
         elif header.closes and not flow.closing:
@@ -295,10 +374,20 @@
             self._is_link_suspected(server, now),
         )
 
-    def _log_dead_server(self, flow: PacketFlow, now: float) -> None:
+    def _avoid_condemned_servers(self, now: float) -> None:
+        if not self.shares_evidence or self.verdicts.are_empty(now):
+            return
+        for server in self.server_list.servers.values():
+            evidence = server.responsiveness
+            if self.verdicts.is_avoided(_key_of(server), evidence.answered_at, now):
+                evidence.suspect(now + AVOID_SECONDS)
+
+    def _log_dead_server(
+        self, flow: PacketFlow, now: float, reason: str = "server is dead"
+    ) -> None:
         lossy = self._loss_detector.is_lossy(now)
         link_suspected = self._is_link_suspected(flow.server, now)
-        log_dead_server(flow, self.server_list, lossy, link_suspected, now)
+        log_dead_server(flow, self.server_list, lossy, link_suspected, now, reason)
 
     def _is_stalled(self, now: float) -> bool:
         return now - self._last_tick_at > self._settings.silence.stall_seconds
@@ -433,26 +522,25 @@
 
     def _reset_idle_flows(self, now: float) -> list[FlowReset]:
         """Resets idle flows of dead servers, so that the callers' next requests open new flows."""
-        dead_servers = [
-            server
-            for server in self._servers_with_flows()
-            if self._are_idle_flows_dead(server, now)
-        ]
+        dead_servers: dict[ServerKey, str] = {}
+        for server in {id(flow.server): flow.server for flow in self._flows}.values():
+            if self._are_idle_flows_dead(server, now):
+                dead_servers[_key_of(server)] = "server is dead"
+            elif self.is_condemned(server, now):
+                dead_servers[_key_of(server)] = "condemned"
         if not dead_servers:
             return []
         resets = []
         for flow in list(self._flows):
             busy = flow.opening or flow.closing or flow.waiting_since is not None
-            if not busy and flow.server in dead_servers:
+            reason = dead_servers.get(_key_of(flow.server))
+            if not busy and reason is not None:
                 self._end_flow(flow)
-                self._log_dead_server(flow, now)
+                self._log_dead_server(flow, now, reason)
                 self.counters["reset_idle"] += 1
                 resets.append(FlowReset(flow.key, flow.acknowledged))
         return resets
 
-    def _servers_with_flows(self) -> list[BackendServer]:
-        return list({id(flow.server): flow.server for flow in self._flows}.values())
-
     def _are_idle_flows_dead(self, server: BackendServer, now: float) -> bool:
         return is_idle_flow_dead(
             server.responsiveness,
@@ -481,6 +569,7 @@
 
         During the stall it forwarded no packets, so missing answers prove nothing.
         """
+        self.verdicts.discard()
         for server in self.server_list.servers.values():
             server.responsiveness.discard_evidence()
         for control in self._overload_controls.values():
@@ -507,3 +596,7 @@
     def _drop(self, reason: str) -> DropPacket:
         log_event(logger, LogEvent.FLOW_DROPPED, reason=reason)
         return DropPacket(reason)
+
+
+def _key_of(server: BackendServer) -> ServerKey:
+    return server.name, server.incarnation
--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/flow_dumps.py
@@ -24,7 +24,8 @@
         "list_revision": balancer.server_list.version.revision,
         "list_age_seconds": round(now - balancer.server_list.confirmed_at, 3),
         "backend_servers": [
-            _describe_server(server, now) for server in balancer.server_list.servers.values()
+            _describe_server(server, balancer, now)
+            for server in balancer.server_list.servers.values()
         ],
         "entry_vms": [vm.to_update() for vm in group.entry_vms.others()],
         "platform_failures": group.platform_failures,
@@ -39,10 +40,12 @@
     return msgspec.json.encode(dump)
 
 
-def _describe_server(server: BackendServer, now: float) -> dict[str, object]:
+def _describe_server(
+    server: BackendServer, balancer: FlowBalancer, now: float
+) -> dict[str, object]:
     evidence = server.responsiveness
     unlisted_since = server.unlisted_since
-    return {
+    description = {
         "name": server.name,
         "service": server.service,
         "zone": server.zone,
@@ -55,3 +58,6 @@
         "unanswered": evidence.unanswered,
         "doubted": evidence.suspected_until > now,
     }
+    if balancer.shares_evidence:
+        description["condemned"] = balancer.is_condemned(server, now)
+    return description
--- a/marjoramford/flow_logs.py
+++ b/marjoramford/flow_logs.py
@@ -34,7 +34,12 @@
 
 
 def log_dead_server(
-    flow: PacketFlow, server_list: ServerList, lossy: bool, link_suspected: bool, now: float
+    flow: PacketFlow,
+    server_list: ServerList,
+    lossy: bool,
+    link_suspected: bool,
+    now: float,
+    reason: str = "server is dead",
 ) -> None:
     """Logs the reset of a flow with the evidence that its server is dead."""
     server = flow.server
@@ -43,7 +48,7 @@
         logger,
         LogEvent.FLOW_RESET,
         flow=str(flow.key),
-        reason="server is dead",
+        reason=reason,
         server=server.name,
         gone=server.gone,
         listed=server.unlisted_since is None,
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/flow_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of an entry VM for opaque flows, collected from the core on each scrape."""
 
+import time
 from collections.abc import Iterator
 
 from prometheus_client.core import HistogramMetricFamily, Metric
@@ -27,6 +28,10 @@
         yield make_gauge("list_era", "Era of the server list", balancer.server_list.version.era)
         version = balancer.routes.version if balancer.routes else 0
         yield make_gauge("routes_version", "Version of the routes in force", version)
+        if balancer.shares_evidence:
+            count = balancer.count_condemned(time.monotonic())
+            text = "Servers that the zone considers dead"
+            yield make_gauge("condemned_servers", text, count)
         yield make_gauge("ready", "1 while flows can be placed", balancer.ready)
         yield _make_histogram(
             "flow_opening_seconds",
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -62,9 +62,41 @@
 
     Attributes:
         enabled: whether idle flows of dead servers are reset, and evidence is shared in the zone.
+        min_entry_vms: required number of entry VMs that see silence, unless one of them would
+            decide for itself.
+        min_flows: required number of silent flows, of all entry VMs together.
+        silent_seconds: required time between the oldest packet without an answer and the latest
+            retransmission without one, in seconds; a server that pauses for less is never
+            condemned.
+        question_flows: silent flows from which on a server is in question.
+        objection_seconds: time for which a server is in question before it is condemned, in
+            seconds; above the time between two calls and a round trip.
+        unanswered_seconds: a retransmission counts as silence after this time, in seconds; above a
+            round trip between zones on a busy link.
+        call_seconds: shortest time between two calls to a reader, in seconds.
+        refresh_seconds: silence is reported again after this time, in seconds.
+        report_ttl_seconds: reports lapse after this time, in seconds.
+        verdict_ttl_seconds: decisions that the reader does not repeat lapse after this time, in
+            seconds; above `peers.follower_wait`.
+        condemned_seconds: length of the first decision, in seconds; it doubles each time.
+        max_condemned_seconds: the longest one, in seconds.
+        timeout: time allowed for a call, in seconds.
     """
 
     enabled: bool = False
+    min_entry_vms: Annotated[int, Meta(ge=1, le=1000)] = 2
+    min_flows: Annotated[int, Meta(ge=1, le=1000)] = 3
+    silent_seconds: Seconds = 0.4
+    question_flows: Annotated[int, Meta(ge=1, le=1000)] = 2
+    objection_seconds: Seconds = 0.15
+    unanswered_seconds: Seconds = 0.1
+    call_seconds: Seconds = 0.1
+    refresh_seconds: Seconds = 1.0
+    report_ttl_seconds: Seconds = 2.0
+    verdict_ttl_seconds: Seconds = 2.0
+    condemned_seconds: Seconds = 3.0
+    max_condemned_seconds: Seconds = 12.0
+    timeout: Seconds = 0.3
 
 
 class PlacementSettings(_Section):
--- /dev/null
+++ b/tests/test_condemned_servers.py
@@ -0,0 +1,138 @@
+"""What an entry VM does with flows of a server that its zone's reader considers dead."""
+
+import json
+import time
+from random import Random
+
+import pytest
+
+from marjoramford.addresses import Address
+from marjoramford.entry_vms import EntryVm
+from marjoramford.flow_dumps import dump_state
+from marjoramford.flow_metrics import render_flow_metrics
+from marjoramford.packets import Forward, ResetFlow
+from marjoramford.peer_groups import PeerGroup
+from marjoramford.shared_evidence import PublishedEvidence, PublishedSilence
+
+from .evidence_zones import ENABLED
+from .flow_worlds import SETTINGS, START, FlowWorld, record
+
+
+def condemn(world, name="s-1", since=0.5, incarnation=0, prober=""):
+    silence = PublishedSilence(name, incarnation, since, prober)
+    world.balancer.apply_evidence(PublishedEvidence(7, (), (silence,)), world.now)
+
+
+def make_world(settings=ENABLED, start=START):
+    """A world with an idle flow at s-1, which answered 1 s ago."""
+    world = FlowWorld(record("s-1"), settings=settings, start=start)
+    caller = world.caller()
+    caller.establish()
+    world.advance(1.0)
+    return world, caller
+
+
+def test_idle_flows_are_reset_at_the_next_tick():
+    world, caller = make_world()
+    condemn(world)
+    assert [reset.flow for reset in world.advance(0.1)] == [caller.key]
+
+
+def test_packets_of_waiting_flows_are_answered_with_a_reset():
+    world, caller = make_world()
+    caller.request()
+    condemn(world, since=0.0)
+    assert world.advance(0.2) == []
+    assert caller.send(size=200, sequence=caller.sequence - 200) == ResetFlow("condemned")
+
+
+def test_an_answer_seen_here_overrides_the_decision():
+    world, caller = make_world()
+    caller.request()
+    condemn(world, since=0.5)
+    assert isinstance(caller.receive_answer(), Forward)
+    assert world.advance(0.3) == []
+    assert list(world.balancer.find_objections(world.now)) == [("s-1", 0)]
+
+
+@pytest.mark.parametrize("other", [{"incarnation": 1}, {"name": "s-2"}, {"prober": "front-9"}])
+def test_flows_survive_the_decision_on_another_incarnation_or_server_or_a_probation(other):
+    world, _ = make_world()
+    condemn(world, **other)
+    assert world.advance(0.5) == []
+
+
+def test_a_decision_that_is_not_repeated_lapses():
+    world, caller = make_world()
+    condemn(world, since=0.5)
+    assert world.balancer.count_condemned(world.now) == 1
+    assert world.balancer.count_condemned(world.now + 2.1) == 0
+
+
+def test_no_flow_is_reset_after_a_stall_with_an_old_decision():
+    world, caller = make_world()
+    condemn(world)
+    world.now += 1.0
+    assert isinstance(caller.request(), Forward)
+    assert world.balancer.tick(world.now) == []
+    assert world.advance(0.3) == []
+
+
+def test_new_flows_avoid_a_condemned_server_unless_there_is_no_other():
+    world = FlowWorld(record("s-1"), record("s-2", 2), settings=ENABLED)
+    condemn(world)
+    assert {world.caller().open().server.name for _ in range(9)} == {"s-2"}
+    only = FlowWorld(record("s-1"), settings=ENABLED)
+    condemn(only)
+    assert only.caller().establish().name == "s-1"
+    assert only.advance(0.3) == []
+
+
+def test_on_probation_only_one_entry_vm_opens_flows_and_reports_its_silence():
+    for prober, expected in (("front-1", {"s-1", "s-2"}), ("front-9", {"s-2"})):
+        world = FlowWorld(record("s-1"), record("s-2", 2), settings=ENABLED)
+        condemn(world, prober=prober)
+        callers = [world.caller() for _ in range(9)]
+        assert {caller.open().server.name for caller in callers} == expected
+        world.advance(0.2)
+        for caller in callers:
+            caller.open()
+        silent = world.balancer.find_silences(world.now)
+        assert (("s-1", 0) in silent) is (prober == "front-1")
+        assert ("s-2", 0) not in silent
+
+
+def test_the_state_dump_and_the_metrics_show_condemned_servers():
+    own = Address("127.0.0.1", 9)
+    group = PeerGroup(EntryVm("front-1", 1, "a", own, own), [], ENABLED.peers, Random(1))
+    world, _ = make_world(start=time.monotonic())
+    condemn(world)
+    dump = json.loads(dump_state(world.balancer, group))
+    assert dump["backend_servers"][0]["condemned"] is True
+    assert b"marjoramford_condemned_servers 1.0" in render_flow_metrics(world.balancer)
+    disabled, _ = make_world(SETTINGS)
+    assert "condemned" not in json.loads(dump_state(disabled.balancer, group))["backend_servers"][0]
+    assert b"condemned" not in render_flow_metrics(disabled.balancer)
+
+
+def test_with_the_setting_off_decisions_and_idle_flows_are_left_alone():
+    world, caller = make_world(SETTINGS)
+    condemn(world)
+    assert world.advance(0.5) == []
+    assert isinstance(caller.request(), Forward)
+
+
+def test_only_retransmissions_that_had_time_for_an_answer_are_silence():
+    world, caller = make_world()
+    caller.request()
+    world.advance(0.2)
+    caller.send(size=200, sequence=caller.sequence - 200)
+    assert world.balancer.find_silences(world.now) == {}
+    world.advance(0.1)
+    silence = world.balancer.find_silences(world.now)["s-1", 0]
+    assert (silence.flows, silence.decided) == (1, False)
+    assert world.now - silence.silent_since == pytest.approx(0.3)
+    assert world.now - silence.latest_at == pytest.approx(0.1)
+    caller.receive_answer()
+    assert world.balancer.find_silences(world.now) == {}
+    assert not silence.link_suspected
