Evidence of dead servers travels between entry VMs of a zone

Cause: the verdict of shared_evidence.py had no messages. Change: EvidenceExchange posts changed reports to /v1/evidence of the zone's readers (of the followed one where there are more than 4), at most once in 0.1 s each; readers publish decisions in PublishedState.evidence to followers that ask with the version they have, and only as "unchanged" while that is current. Without the setting there is no endpoint, call, query parameter or field.

--- a/marjoramford/errors.py
+++ b/marjoramford/errors.py
@@ -18,6 +18,7 @@
     DISPATCH = "dispatch"
     GOSSIP = "gossip"
     FOLLOW = "follow"
+    SHARE_EVIDENCE = "share evidence"
     HAND_OVER = "hand over"
     OPERATE = "operate"
 
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -193,12 +193,12 @@
             server, waiting_since = flow.server, flow.waiting_since
             if flow.opening or waiting_since is None or not flow.rounds.count:
                 continue
+            repeated_at = flow.rounds.latest_before(latest)
             answered_at = server.responsiveness.answered_at
-            if waiting_since < answered_at or flow.rounds.began_at > latest or flow.is_stale(now):
+            if repeated_at is None or waiting_since < answered_at or flow.is_stale(now):
                 continue
             silence = silences.get(_key_of(server))
             if silence is None:
-                repeated_at = flow.rounds.began_at
                 silence = LocalSilence(0, waiting_since, repeated_at, repeated_at, answered_at)
                 silence.lossy = self._loss_detector.is_lossy(now)
                 silence.link_suspected = self._is_link_suspected(server, now)
@@ -206,8 +206,8 @@
                 silences[_key_of(server)] = silence
             silence.flows += 1
             silence.silent_since = min(silence.silent_since, waiting_since)
-            silence.repeated_at = min(silence.repeated_at, flow.rounds.began_at)
-            silence.latest_at = max(silence.latest_at, flow.rounds.began_at)
+            silence.repeated_at = min(silence.repeated_at, repeated_at)
+            silence.latest_at = max(silence.latest_at, repeated_at)
         return silences
 
     def find_objections(self, now: float) -> dict[ServerKey, float]:
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -88,7 +88,7 @@
     min_flows: Annotated[int, Meta(ge=1, le=1000)] = 3
     silent_seconds: Seconds = 0.4
     question_flows: Annotated[int, Meta(ge=1, le=1000)] = 2
-    objection_seconds: Seconds = 0.15
+    objection_seconds: Seconds = 0.2
     unanswered_seconds: Seconds = 0.1
     call_seconds: Seconds = 0.1
     refresh_seconds: Seconds = 1.0
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -21,6 +21,7 @@
 from .addresses import Address
 from .entry_vms import EntryVm
 from .errors import StepError
+from .evidence_exchanges import EvidenceExchange
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_services import HttpRequest, HttpResponse, serve_http
@@ -28,6 +29,7 @@
 from .packets import Forward, PacketCodec, ResetFlow
 from .peer_groups import PeerGroup
 from .published_states import StatePublisher
+from .shared_evidence import EvidenceCollector
 from .state_readers import MemberExchange, PlatformReader, StateReader, merge_members
 from .tasks import run_guarded
 
@@ -112,6 +114,8 @@
         compress: whether the follower decodes compressed states; those of older builds do not.
         era: era of `after`; None from followers of builds that know no eras.
         routes_era: era of `routes`; None as for `era`.
+        evidence: version of the decisions on dead servers that the follower has; None if it uses
+            none.
     """
 
     after: int
@@ -120,6 +124,7 @@
     compress: bool = False
     era: Annotated[int, Meta(ge=0)] | None = None
     routes_era: Annotated[int, Meta(ge=0)] | None = None
+    evidence: Annotated[int, Meta(ge=0)] | None = None
 
 
 class PacketVm:
@@ -144,7 +149,8 @@
         self._codec = codec
         self._reload_settings = reload_settings
         self.balancer = FlowBalancer(settings, Random(), time.monotonic())
-        self._publisher = StatePublisher(self.balancer)
+        collector = _make_collector(settings)
+        self._publisher = StatePublisher(self.balancer, collector)
         self._group = PeerGroup(
             _make_own_entry_vm(settings),
             [Address.parse(seed) for seed in settings.seeds],
@@ -152,6 +158,11 @@
             Random(),
         )
         self._exchange = MemberExchange(settings, self._group)
+        self._evidence_exchange = None
+        if collector is not None:
+            self._evidence_exchange = EvidenceExchange(
+                settings, self.balancer, self._group, collector, self._publisher
+            )
         self._reader = StateReader(
             settings,
             self.balancer,
@@ -173,6 +184,8 @@
             await serve_http(Address.parse(settings.control_address), self._handle_request),
         ]
         jobs = [self._reader.run(), self._exchange.run(), self._run_timer(packets)]
+        if self._evidence_exchange is not None:
+            jobs.append(self._evidence_exchange.run())
         tasks = [asyncio.create_task(run_guarded(job, self._stop_after_failure)) for job in jobs]
         log_event(
             logger,
@@ -271,6 +284,9 @@
                 if not merge_members(self._group, request.body):
                     return HttpResponse(400)
                 return HttpResponse(200, msgspec.json.encode(self._group.select_updates()))
+            case "/v1/evidence" if request.method == "POST" and self._evidence_exchange:
+                accepted = self._evidence_exchange.handle(request.body)
+                return HttpResponse(200 if accepted else 400)
             case "/metrics":
                 # Imported on first use: most processes are never scraped.
                 from .flow_metrics import render_flow_metrics
@@ -296,6 +312,7 @@
             follower_request.compress,
             follower_request.era,
             follower_request.routes_era,
+            follower_request.evidence,
         )
         return HttpResponse(200, body)
 
@@ -311,3 +328,16 @@
         address,
         link_mbps=settings.link_mbps,
     )
+
+
+def _make_collector(settings: PacketVmSettings) -> EvidenceCollector | None:
+    """Returns the collector of evidence; None if none is shared.
+
+    Its versions begin with the time of the start, so that they differ from those of other readers.
+    """
+    if not settings.shared_evidence.enabled:
+        return None
+    stall_seconds = settings.silence.stall_seconds
+    first_version = int(time.time() * 1000)
+    now = time.monotonic()
+    return EvidenceCollector(settings.shared_evidence, stall_seconds, first_version, now)
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/packet_flows.py
@@ -38,6 +38,7 @@
     Attributes:
         count: number of rounds counted.
         began_at: start of the latest round on the monotonic clock, in seconds.
+        previous_began_at: start of the round before it.
         oldest: lowest sequence number in the latest round.
         previous_oldest: lowest sequence number in the round before it.
         counted: whether the latest round has been counted.
@@ -45,6 +46,7 @@
 
     count: int = 0
     began_at: float = float("-inf")
+    previous_began_at: float = float("-inf")
     oldest: int = 0
     previous_oldest: int = 0
     counted: bool = False
@@ -52,6 +54,7 @@
     def record(self, sequence: int, now: float) -> None:
         """Records a retransmitted packet by its sequence number."""
         if now - self.began_at >= MIN_RETRANSMISSION_AGE_SECONDS:
+            self.previous_began_at = self.began_at
             self.began_at = now
             self.counted = False
             self.previous_oldest = self.oldest if self.count else sequence
@@ -66,6 +69,17 @@
         """Resets the count after a sign of life of the server; the next packet begins a round."""
         self.count = 0
         self.began_at = float("-inf")
+        self.previous_began_at = float("-inf")
+
+    def latest_before(self, moment: float) -> float | None:
+        """Returns the start of the latest round that began before a moment; None without one.
+
+        None as well if the latest round does not count, since then data has arrived.
+        """
+        if not self.counted:
+            return None
+        latest = self.began_at if self.began_at <= moment else self.previous_began_at
+        return latest if latest > float("-inf") else None
 
 
 class PacketFlow(msgspec.Struct, eq=False):
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -41,6 +41,9 @@
     until: float
 
 
+# A zone with more readers reports evidence only to the reader that is followed.
+MAX_REPORT_TARGETS = 4
+
 Source = ReadPlatform | FollowPeer | PauseReading
 
 
@@ -158,12 +161,39 @@
             return ReadPlatform(self._settings.all_read_wait)
         if self.entry_vms.own.name in readers:
             return ReadPlatform(self._settings.reader_wait)
-        for name in rendezvous_order(self.entry_vms.own.name, readers):
-            address = self.entry_vms.get(name).control_address
-            if self._avoided_until.get(address, 0.0) <= now:
-                return FollowPeer(address, self._settings.follower_wait)
+        address = self._choose_reader(readers, now)
+        if address is not None:
+            return FollowPeer(address, self._settings.follower_wait)
         return ReadPlatform(self._settings.reader_wait)
 
+    def find_report_targets(self, now: float) -> tuple[bool, list[Address]]:
+        """Returns whether this entry VM is a reader of its zone, and the readers to report to.
+
+        There are none in a small zone. In a zone of many readers only the one that is followed gets
+        reports, and each reader decides alone.
+        """
+        readers = self._elect_readers()
+        if readers is None:
+            return False, []
+        own = self.entry_vms.own.name
+        others = [self.entry_vms.get(name).control_address for name in readers if name != own]
+        if len(readers) > MAX_REPORT_TARGETS:
+            followed = None if own in readers else self._choose_reader(readers, now)
+            others = [] if followed is None else [followed]
+        return own in readers, others
+
+    def list_members(self) -> list[str]:
+        """Returns the names of the entry VMs in this zone that accept flows, with this one."""
+        own = self.entry_vms.own
+        return [own.name, *(vm.name for vm in self.entry_vms.active() if vm.zone == own.zone)]
+
+    def is_member(self, name: str, incarnation: int) -> bool:
+        """Whether this incarnation of another entry VM of this zone is known."""
+        vm = self.entry_vms.get(name)
+        if vm is None or vm.zone != self.entry_vms.own.zone:
+            return False
+        return vm.incarnation == incarnation
+
     def record_platform_read(self, answered: bool, now: float) -> None:
         """Records the result of a read of the platform.
 
@@ -206,6 +236,14 @@
         candidates.sort(key=lambda name: _link_class(members[name]), reverse=True)
         return candidates[: count_readers(len(members), self._settings)]
 
+    def _choose_reader(self, readers: Sequence[str], now: float) -> Address | None:
+        """Returns the first reader that is not being avoided, or None."""
+        for name in rendezvous_order(self.entry_vms.own.name, readers):
+            address = self.entry_vms.get(name).control_address
+            if self._avoided_until.get(address, 0.0) <= now:
+                return address
+        return None
+
     def _choose_fallback_peer(self, now: float) -> Address | None:
         """Returns an entry VM to follow while the platform does not answer here, or None.
 
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -15,6 +15,7 @@
 from .records import VmRecord
 from .routes import RouteChanges, RouteTable
 from .server_lists import ListChanges
+from .shared_evidence import EvidenceCollector, PublishedEvidence
 from .state_versions import StateVersion
 
 # Smaller states are sent as they are. A table of hundreds of routes for each follower would fill a
@@ -36,6 +37,8 @@
         era: era of the revision; left out at 0, since older builds know no eras.
         reachable: seconds since the platform recovered from its last interruption, 0 while it does
             not answer; left out if it was never lost or long enough ago, and by older builds.
+        evidence: the sender's decisions on dead servers; left out if there are none, or to
+            followers that did not ask for them.
     """
 
     records: tuple[VmRecord, ...]
@@ -46,6 +49,7 @@
     routes: RouteChanges | None = None
     era: Annotated[int, Meta(ge=0)] = 0
     reachable: Annotated[float, Meta(ge=0)] | None = None
+    evidence: PublishedEvidence | None = None
 
 
 class _KnownVersions(msgspec.Struct, frozen=True):
@@ -55,6 +59,7 @@
     era: int | None
     routes_version: int
     routes_era: int | None
+    evidence: int | None = None
 
     def is_list_older(self, version: StateVersion) -> bool:
         if self.era is None:
@@ -67,10 +72,16 @@
 
 
 class StatePublisher:
-    """Serves the state to followers, immediately or as soon as it changes (long polling)."""
+    """Serves the state to followers, immediately or as soon as it changes (long polling).
 
-    def __init__(self, balancer: FlowBalancer):
+    Args:
+        balancer: holds the state.
+        collector: decides on dead servers; None if no evidence is shared.
+    """
+
+    def __init__(self, balancer: FlowBalancer, collector: EvidenceCollector | None = None):
         self._balancer = balancer
+        self._collector = collector
         self._changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -86,6 +97,7 @@
         compress: bool = False,
         era: int | None = None,
         routes_era: int | None = None,
+        evidence: int | None = None,
     ) -> bytes:
         """Returns the changes after the versions that a follower has, encoded.
 
@@ -99,8 +111,12 @@
             era: era of the revision; None if the follower is of an older build. It takes a state by
                 its revision alone and asks again at once, so it is not answered for a higher era.
             routes_era: era of the routes version; None as for `era`.
+            evidence: version of the decisions on dead servers that the follower has; None if it
+                does not use them.
         """
-        known = _KnownVersions(revision, era, routes_version, routes_era)
+        if self._collector is None:
+            evidence = None
+        known = _KnownVersions(revision, era, routes_version, routes_era, evidence)
         deadline = time.monotonic() + wait
         while not self._has_changes(known):
             remaining = deadline - time.monotonic()
@@ -115,6 +131,8 @@
 
     def _has_changes(self, known: _KnownVersions) -> bool:
         routes = self._balancer.routes
+        if known.evidence is not None and known.evidence != self._collector.version:
+            return True
         newer_routes = routes is not None and known.are_routes_older(routes)
         return newer_routes or known.is_list_older(self._balancer.server_list.version)
 
@@ -135,8 +153,14 @@
             balancer.route_history.changes_since(known.routes_version, known.routes_era),
             changes.version.era,
             None if recovered_at is None else max(0.0, now - recovered_at),
+            evidence=self._make_evidence(known, now),
         )
 
+    def _make_evidence(self, known: _KnownVersions, now: float) -> PublishedEvidence | None:
+        if known.evidence is None:
+            return None
+        return self._collector.publish(now, known.evidence)
+
 
 def encode_state(state: PublishedState, compress: bool) -> bytes:
     """Returns a state as JSON, compressed by zlib if that is wanted and the state is large."""
--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/shared_evidence.py
@@ -94,9 +94,15 @@
 
 
 class PublishedEvidence(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The decisions of one reader; complete, so that they replace those it published before."""
+    """The decisions of one reader; complete, so that they replace those it published before.
+
+    Attributes:
+        version: identifies the decisions.
+        unchanged: whether they are those that the follower has, and are left out.
+    """
 
     version: Version
+    unchanged: bool = False
     questioned: tuple[PublishedSilence, ...] = ()
     condemned: tuple[PublishedSilence, ...] = ()
 
@@ -172,6 +178,11 @@
         self._objected = dict(objections)
         return tuple(reports[:MAX_REPORTS])
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no silence has been reported that is not withdrawn yet."""
+        return not self._sent
+
     def discard(self) -> None:
         """Forgets what was sent, after a call that may not have arrived."""
         self._sent.clear()
@@ -323,20 +334,22 @@
         self._version += changed
         return changed
 
-    def publish(self, now: float) -> PublishedEvidence | None:
-        """Returns the decisions; None if there are none."""
+    def publish(self, now: float, known_version: int = 0) -> PublishedEvidence | None:
+        """Returns the decisions for a follower that has a version; None if there are none."""
         if not self._has_decisions():
             return None
+        if known_version == self._version:
+            return PublishedEvidence(self._version, True)
         questioned, condemned = [], []
         for key, case in self._cases.items():
             if case.condemnation is not None:
-                since = max(0.0, now - case.condemnation.silent_since)
+                since = _round(max(0.0, now - case.condemnation.silent_since))
                 condemned.append(PublishedSilence(*key, since, case.condemnation.prober))
             elif case.questioned_at is not None:
                 silence = self._add_up(case)
                 since = case.questioned_at if silence is None else silence.since
-                questioned.append(PublishedSilence(*key, max(0.0, now - since)))
-        return PublishedEvidence(self._version, tuple(questioned), tuple(condemned))
+                questioned.append(PublishedSilence(*key, _round(max(0.0, now - since))))
+        return PublishedEvidence(self._version, False, tuple(questioned), tuple(condemned))
 
     def _record_report(self, sender: str, report: ServerReport, now: float) -> None:
         case = self._cases.setdefault(report.key, _Case())
@@ -512,8 +525,11 @@
 
     def apply(self, evidence: PublishedEvidence | None, now: float) -> None:
         """Replaces the decisions by those that the reader now has; None if it has none."""
+        if evidence is not None and evidence.unchanged and evidence.version == self.version:
+            self._valid_until = now + self._settings.verdict_ttl_seconds
+            return
         self.discard()
-        if evidence is None:
+        if evidence is None or evidence.unchanged:
             return
         self.version = evidence.version
         self._valid_until = now + self._settings.verdict_ttl_seconds
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -116,6 +116,7 @@
 
         The eras are sent even if they are 0: their absence shows a follower of an older build.
         """
+        shares_evidence = self._balancer.shares_evidence
         version = self._balancer.server_list.version
         routes_version, routes_era = (
             self._balancer.routes.order if self._balancer.routes else (0, 0)
@@ -123,6 +124,7 @@
         return (
             f"/v1/published?after={version.revision}&era={version.era}&routes={routes_version}"
             f"&routes_era={routes_era}&wait={wait}&compress=true"
+            + (f"&evidence={self._balancer.verdicts.version}" if shares_evidence else "")
         )
 
     def _apply_response(self, address: Address, body: bytes, now: float) -> bool:
@@ -135,6 +137,8 @@
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
                     return False
                 self._group.record_peer_read(address, state.age, now)
+                if self._balancer.shares_evidence:
+                    self._balancer.apply_evidence(state.evidence, now)
                 self._publisher.notify()
                 return True
             case Err(reason):
