--- a/marjoramford/standins/packet_traffic.py
+++ b/marjoramford/standins/packet_traffic.py
@@ -89,7 +89,8 @@
             if world.now >= self._end_at:
                 return
             world.after(world.random.expovariate(rate), create_request)
-            keep_open = idempotent and world.random.random() < KEPT_OPEN_SHARE
+            reusable = idempotent or world.settings.keep_all_open
+            keep_open = reusable and world.random.random() < KEPT_OPEN_SHARE
             self._request_count += 1
             name = f"{traffic.kind}-{self._request_count}"
             self._start_request(
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -6,7 +6,7 @@
 
 from ..addresses import Address
 from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings
+from ..flow_settings import PacketVmSettings, SharedEvidenceSettings
 from ..packets import FlowKey, Forward, ResetFlow
 from ..platform.packets import PlatformCodec
 from .packet_catalogues import PacketCatalogue
@@ -30,6 +30,7 @@
 
     now: float
     vms: list["EmulatedVm"]
+    evidence: "EvidenceSharing | None"
 
     def after(self, seconds: float, callback: Callable[[], None]) -> None:
         """Schedules a callback."""
@@ -41,6 +42,13 @@
         """Sends a datagram to a caller."""
 
 
+class EvidenceSharing(Protocol):
+    """Carries evidence of dead servers between entry VMs."""
+
+    def advance(self, vm: "EmulatedVm") -> None:
+        """Sends what is due from an entry VM; called after each of its ticks."""
+
+
 class EmulatedVm:
     """One entry VM, whose process can be stopped, killed, suspended and cut off from the store.
 
@@ -61,6 +69,7 @@
         catalogue: PacketCatalogue,
         random: Random,
         make_balancer: BalancerFactory = FlowBalancer,
+        shared_evidence: SharedEvidenceSettings | None = None,
     ):
         self.name = name
         self.zone = zone
@@ -86,22 +95,29 @@
             ready_address=str(address),
             control_address=str(address),
             platform=str(address),
+            shared_evidence=shared_evidence or SharedEvidenceSettings(),
         )
 
     @property
     def ready(self) -> bool:
         """Whether it answers a readiness probe with success."""
         is_serving = self.balancer is not None and not self._is_stopping
-        return is_serving and not self._is_frozen and self.balancer.ready
+        return is_serving and not self.is_frozen and self.balancer.ready
 
     @property
     def reads_store(self) -> bool:
         """Whether its process runs and the store does not refuse its requests."""
-        is_running = self.balancer is not None and not self._is_frozen
+        is_running = self.balancer is not None and not self.is_frozen
         return is_running and not self._store_access_denied
 
     @property
-    def _is_frozen(self) -> bool:
+    def settings(self) -> PacketVmSettings:
+        """The settings of its process."""
+        return self._settings
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether its process is suspended."""
         return self._host.now < self._frozen_until
 
     def record_fault(self, planned: bool = False) -> None:
@@ -161,7 +177,7 @@
         """
         if self.balancer is None:
             return
-        if self._is_frozen:
+        if self.is_frozen:
             self._buffered.append(datagram)
             return
         head = self._codec.decode(datagram)
@@ -196,6 +212,8 @@
         self.balancer.entry_vm_count = sum(vm.balancer is not None for vm in self._host.vms)
         for reset in self.balancer.tick(self._host.now):
             self._reset(reset.flow, reset.acknowledged)
+        if self._host.evidence is not None:
+            self._host.evidence.advance(self)
 
     def _reset(self, flow: FlowKey, acknowledged: int) -> None:
         datagram, address = self._codec.encode_reset(flow, acknowledged)
@@ -203,7 +221,7 @@
 
     def _call_periodically(self, seconds: float, callback: Callable[[], None]) -> None:
         def call_again() -> None:
-            if not self._is_frozen:
+            if not self.is_frozen:
                 callback()
             self._host.after(seconds, self._if_same_boot(call_again))
 
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -12,6 +12,7 @@
 from ..addresses import Address
 from ..entry_vms import rendezvous_order
 from ..flow_balancers import FlowBalancer
+from ..flow_settings import SharedEvidenceSettings
 from ..packets import FlowKey, Forward
 from ..records import VmRecord
 from .deployments import Deployment
@@ -19,6 +20,7 @@
 from .packet_callers import PacketCaller
 from .packet_catalogues import PacketCatalogue
 from .packet_checkers import STABLE_SECONDS, PacketChecker
+from .packet_evidence import EvidenceNetwork, LinkFaults
 from .packet_servers import SLOTS, PacketServer
 from .packet_vms import BalancerFactory, EmulatedVm
 from .rotations import PROBE_INTERVAL_SECONDS
@@ -51,6 +53,8 @@
         loss: fraction of the datagrams from and to callers that are lost.
         flow_hash: how the fabric chooses the entry VM of a flow.
         target_seconds: target latency that the routes name; 0 if they name none.
+        keep_all_open: whether requests that are not idempotent reuse open flows too.
+        shared_evidence: the settings of all entry VMs.
         make_balancer: creates the balancer of an entry VM; comparisons pass baseline policies here.
     """
 
@@ -58,6 +62,8 @@
     loss: float = 0.0
     flow_hash: FlowHash = FlowHash.RENDEZVOUS
     target_seconds: float = 0.0
+    keep_all_open: bool = False
+    shared_evidence: SharedEvidenceSettings = SharedEvidenceSettings()
     make_balancer: BalancerFactory = FlowBalancer
 
 
@@ -88,6 +94,8 @@
         servers: all backend servers ever started, by name, including those that no longer run.
         callers: the callers of each availability zone.
         ports: the route port of each service, by service name.
+        evidence: the exchange of evidence; None unless the settings turn it on.
+        link_faults: faults of single links.
     """
 
     def __init__(self, deployment: Deployment, seed: int, settings: PacketWorldSettings):
@@ -98,6 +106,8 @@
         self.network = Network(deployment, self.random, settings.loss, 0.0)
         self.catalogue = PacketCatalogue(ROUTE_IP, settings.target_seconds)
         self.checker = PacketChecker(self)
+        self.link_faults = LinkFaults()
+        self.evidence = EvidenceNetwork(self) if settings.shared_evidence.enabled else None
         self.vms: list[EmulatedVm] = []
         self.servers: dict[str, PacketServer] = {}
         self.callers: dict[str, list[PacketCaller]] = {}
@@ -207,7 +217,12 @@
             return
         if self._drops_datagram(vm.zone) or self._drops_datagram(server.zone):
             return
-        delay = self.network.draw_zone_latency(vm.zone, server.zone)
+        if (vm.name, server.zone) in self.link_faults.cuts:
+            return
+        link_delay = self.link_faults.draw_delay(vm.name, self.random)
+        if link_delay is None:
+            return
+        delay = self.network.draw_zone_latency(vm.zone, server.zone) + link_delay
 
         def arrive() -> None:
             if server.alive and self._server_by_address.get(server.address) is server:
@@ -227,8 +242,12 @@
 
     def _deliver_to_vm(self, datagram: bytes, address: Address) -> None:
         vm = self._vm_by_address[address]
-        if not self.network.draw_loss():
-            self.after(self.network.draw_caller_latency(), lambda: vm.handle_datagram(datagram))
+        if self.network.draw_loss():
+            return
+        link_delay = self.link_faults.draw_delay(vm.name, self.random)
+        if link_delay is not None:
+            delay = self.network.draw_caller_latency() + link_delay
+            self.after(delay, lambda: vm.handle_datagram(datagram))
 
     def _drops_datagram(self, zone: str) -> bool:
         return self.random.random() < self._loss_by_zone.get(zone, 0.0)
@@ -289,6 +308,7 @@
             self.catalogue,
             Random(self.random.random()),
             self.settings.make_balancer,
+            self.settings.shared_evidence,
         )
         self.vms.append(vm)
         self._vm_by_address[vm.address] = vm
