Quick calls between entry VMs clear the own link in reports

Cause: while all servers that an entry VM uses are dark, no answer is quick, so its reports carried link_suspected and counted for little. Silent servers are looked for only if some server has unanswered retransmissions. The tool keeps using its pools of flows once they were full.

--- a/marjoramford/evidence_exchanges.py
+++ b/marjoramford/evidence_exchanges.py
@@ -35,8 +35,9 @@
         next_call_at: no call is made before this time, on the monotonic clock.
     """
 
-    def __init__(self, address: Address, settings: PacketVmSettings):
+    def __init__(self, address: Address, settings: PacketVmSettings, balancer: FlowBalancer):
         self._settings = settings
+        self._balancer = balancer
         self._client = HttpClient(address, Step.SHARE_EVIDENCE)
         self._address = address
         self._last_call_at = float("-inf")
@@ -60,6 +61,7 @@
         peers = self._settings.peers
         match result:
             case Ok(reply) if reply.status == 200:
+                self._balancer.record_call(now, time.monotonic())
                 return
             case Ok(reply):
                 # It is of an older build, or does not know this entry VM yet.
@@ -179,7 +181,7 @@
             self._links.pop(address).close()
         for address in readers:
             if address not in self._links:
-                self._links[address] = _ReaderLink(address, self._settings)
+                self._links[address] = _ReaderLink(address, self._settings, self._balancer)
 
     def _make_message(self, reports: tuple[ServerReport, ...]) -> EvidenceMessage:
         own = self._group.entry_vms.own
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -16,6 +16,8 @@
 
 from .backend_servers import BackendServer
 from .failure_detectors import (
+    LINK_PROOF_SECONDS,
+    QUICK_ANSWER_SECONDS,
     ListStatus,
     LossDetector,
     OwnLinkMonitor,
@@ -74,6 +76,7 @@
         self._loss_detector = LossDetector(settings.silence)
         self._own_link = OwnLinkMonitor()
         self._overload_controls: dict[str, OverloadControl] = {}
+        self._quick_call_at = float("-inf")
         self._last_tick_at = now
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         self.server_list = ServerList(settings.servers)
@@ -183,11 +186,23 @@
         self.verdicts.apply(evidence, now)
         self._avoid_condemned_servers(now)
 
+    def record_call(self, called_at: float, now: float) -> None:
+        """Records a call to another entry VM that was answered.
+
+        If the answer was quick, the own link is not full, so what is reported as silence is that of
+        the servers. While all servers of a zone are dark, there are no quick answers of servers.
+        """
+        if now - called_at <= QUICK_ANSWER_SECONDS:
+            self._quick_call_at = now
+
     def find_silences(self, now: float) -> dict[ServerKey, LocalSilence]:
         """Returns this entry VM's evidence of servers that are silent, from its open flows."""
         if self._is_stalled(now):
             return {}
         silences = self.verdicts.find_silent_openings(now)
+        servers = self.server_list.servers.values()
+        if not any(server.responsiveness.unanswered for server in servers):
+            return silences
         latest = now - self._settings.shared_evidence.unanswered_seconds
         for flow in self._flows:
             server, waiting_since = flow.server, flow.waiting_since
@@ -201,7 +216,8 @@
             if silence is None:
                 silence = LocalSilence(0, waiting_since, repeated_at, repeated_at, answered_at)
                 silence.lossy = self._loss_detector.is_lossy(now)
-                silence.link_suspected = self._is_link_suspected(server, now)
+                proven = now - self._quick_call_at <= LINK_PROOF_SECONDS
+                silence.link_suspected = not proven and self._is_link_suspected(server, now)
                 silence.decided = self._is_dead(flow, now)
                 silences[_key_of(server)] = silence
             silence.flows += 1
@@ -523,7 +539,7 @@
     def _reset_idle_flows(self, now: float) -> list[FlowReset]:
         """Resets idle flows of dead servers, so that the callers' next requests open new flows."""
         dead_servers: dict[ServerKey, str] = {}
-        for server in {id(flow.server): flow.server for flow in self._flows}.values():
+        for server in self.server_list.labels.servers():
             if self._are_idle_flows_dead(server, now):
                 dead_servers[_key_of(server)] = "server is dead"
             elif self.is_condemned(server, now):
--- a/marjoramford/flow_labels.py
+++ b/marjoramford/flow_labels.py
@@ -4,6 +4,8 @@
 resolve it, including one that has just started.
 """
 
+from collections.abc import Iterable
+
 import xxhash
 
 from .backend_servers import BackendServer
@@ -32,6 +34,10 @@
         """Returns the server with a label, or None."""
         return self._servers.get(label)
 
+    def servers(self) -> Iterable[BackendServer]:
+        """Returns all servers that have a label, also those that have left the list."""
+        return self._servers.values()
+
     def add(self, server: BackendServer) -> bool:
         """Adds a server; returns False if another server holds the same label."""
         label = derive_label(server.name, server.incarnation)
--- a/marjoramford/standins/packet_evidence.py
+++ b/marjoramford/standins/packet_evidence.py
@@ -78,6 +78,18 @@
     published_at: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A call from an entry VM to a reader, each in one run of its process."""
+
+    vm: EmulatedVm
+    vm_boots: int
+    reader: EmulatedVm
+    reader_boots: int
+    message: EvidenceMessage
+    called_at: float
+
+
 class EvidenceNetwork:
     """Carries reports to the reader of each zone and its decisions back.
 
@@ -130,18 +142,26 @@
         delay = self._draw_call_delay(vm, reader)
         if delay > vm.settings.shared_evidence.timeout:
             participant.log.discard()
-        self._host.after(delay, partial(self._receive, reader, reader.boots, message))
+        call = _Call(vm, vm.boots, reader, reader.boots, message, now)
+        self._host.after(delay, partial(self._receive, call))
 
-    def _receive(self, reader: EmulatedVm, boots: int, message: EvidenceMessage) -> None:
-        if reader.boots != boots or reader.balancer is None:
+    def _receive(self, call: _Call) -> None:
+        reader, message = call.reader, call.message
+        if reader.boots != call.reader_boots or reader.balancer is None:
             return
         participant = self._participant(reader)
         if reader.is_frozen:
             participant.unread.append(message)
             return
         participant.collector.record(message, self._host.now)
+        self._host.after(self._draw_call_delay(reader, call.vm), partial(self._answer, call))
         self._decide(reader, [each for each in self._host.vms if each.zone == reader.zone])
 
+    def _answer(self, call: _Call) -> None:
+        vm = call.vm
+        if vm.boots == call.vm_boots and vm.balancer is not None and not vm.is_frozen:
+            vm.balancer.record_call(call.called_at, self._host.now)
+
     def _decide(self, reader: EmulatedVm, members: Sequence[EmulatedVm]) -> None:
         now = self._host.now
         participant = self._participant(reader)
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -147,3 +147,25 @@
         caller.send(size=200, sequence=caller.sequence - 200)
     silence = world.balancer.find_silences(world.now)["s-1", 0]
     assert world.now - silence.latest_at == pytest.approx(0.4)
+
+
+def test_a_quick_call_shows_that_the_silence_of_all_servers_is_not_that_of_the_own_link():
+    """In a zone that is dark as a whole no server answers quickly, and all links look full."""
+    world = FlowWorld(record("s-1"), record("s-2", 2), settings=ENABLED)
+    callers = [world.caller() for _ in range(9)]
+    for caller in callers:
+        caller.establish()
+    world.advance(1.0)
+    for caller in callers:
+        caller.request()
+    world.advance(0.2)
+    for caller in callers:
+        caller.send(size=200, sequence=caller.sequence - 200)
+    world.advance(0.1)
+    assert all(s.link_suspected for s in world.balancer.find_silences(world.now).values())
+    world.balancer.record_call(world.now - 1.5, world.now)
+    assert all(s.link_suspected for s in world.balancer.find_silences(world.now).values())
+    world.balancer.record_call(world.now - 0.01, world.now)
+    silences = world.balancer.find_silences(world.now)
+    assert len(silences) == 2
+    assert not any(silence.link_suspected for silence in silences.values())
--- a/tools/measure_dead_servers.py
+++ b/tools/measure_dead_servers.py
@@ -76,9 +76,15 @@
 class LongFlowTraffic(PacketTraffic):
     """Requests on many long flows with pauses: each pool of flows grows, then is used in turn."""
 
+    def __init__(self, *arguments: object):
+        super().__init__(*arguments)
+        self._filled: set[int] = set()
+
     def _start_request(self, request: PacketRequest) -> None:
         pool = request.idle_flows
         if pool is not None and len(pool) >= POOL_FLOWS:
+            self._filled.add(id(pool))
+        if pool and id(pool) in self._filled:
             flow = pool.pop(0)
             if flow.reset_at is None:
                 self._send(request, flow)
