--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -16,7 +16,15 @@
 
 from .backend_servers import BackendServer
 from .cold_starts import ColdStartControl
-from .failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
+from .failure_detectors import (
+    LINK_PROOF_SECONDS,
+    QUICK_ANSWER_SECONDS,
+    ListStatus,
+    LossDetector,
+    OwnLinkMonitor,
+    is_dead,
+    is_idle_flow_dead,
+)
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
 from .flow_settings import PacketVmSettings
@@ -28,6 +36,7 @@
 from .placements import choose_server
 from .routes import Route, RouteChanges, RouteHistory, RouteTable
 from .server_lists import ServerList
+from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey, Verdicts
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +48,8 @@
 MAX_ROUTE_TABLES = 32
 # Reason for which opening packets are refused or dropped.
 ZONE_DRAINED = "zone drained"
+# A condemned server is suspected for this long, again at each tick; several ticks.
+AVOID_SECONDS = 0.3
 # How long a half-closed flow stays in the table after its caller's last packet; several of the
 # longest retransmission intervals.
 CLOSED_FLOW_TTL_SECONDS = 5.0
@@ -56,6 +67,7 @@
 
     Attributes:
         entry_vm_count: entry VMs that share the load, with this one.
+        verdicts: which servers a reader of the zone considers dead.
     """
 
     def __init__(self, settings: PacketVmSettings, random: Random, now: float):
@@ -67,12 +79,14 @@
         self._loss_detector = LossDetector(settings.silence)
         self._own_link = OwnLinkMonitor()
         self._overload_controls: dict[str, OverloadControl] = {}
+        self._quick_call_at = float("-inf")
         self._last_tick_at = now
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         self.cold_starts = ColdStartControl(settings.name, settings.zone, settings.cold_starts, now)
         self.server_list = ServerList(settings.servers)
         self.route_history = RouteHistory(MAX_ROUTE_TABLES)
         self.entry_vm_count = 1
+        self.verdicts = Verdicts(settings.name, settings.shared_evidence)
         self.counters: Counter[str] = Counter()
         self.opening_latencies = LatencyHistogram()
         self.answer_latencies = LatencyHistogram()
@@ -93,6 +107,11 @@
         server_list = self.server_list
         return self._routes is not None and server_list.loaded and server_list.drains.known
 
+    @property
+    def shares_evidence(self) -> bool:
+        """Whether evidence of dead servers beyond that of waiting flows here is used."""
+        return self._settings.shared_evidence.enabled
+
     @property
     def refusal_levels(self) -> dict[str, float]:
         """The refusal level of each service that answered requests lately."""
@@ -165,17 +184,97 @@
         A pause of more than `silence.stall_seconds` between two calls counts as a stall of this
         process. All evidence of silent servers is then discarded.
         """
-        if self._is_stalled(now):
+        was_stalled = self._is_stalled(now)
+        if was_stalled:
             self._discard_evidence(now)
         self._last_tick_at = now
         self.server_list.expire(now)
         self._update_overload_controls(now)
+        self._avoid_condemned_servers(now)
         resets = self._reset_flows_of_dead_servers(now)
+        if self.shares_evidence and not was_stalled:
+            resets += self._reset_idle_flows(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
             self._evict_expired_flows(now)
         return resets
 
+    def apply_evidence(self, evidence: PublishedEvidence | None, now: float) -> None:
+        """Puts the decisions of a reader on dead servers in force, in place of earlier ones."""
+        self.verdicts.apply(evidence, now)
+        self._avoid_condemned_servers(now)
+
+    def record_call(self, called_at: float, now: float) -> None:
+        """Records a call to another entry VM that was answered.
+
+        If the answer was quick, the own link is not full, so what is reported as silence is that of
+        the servers. While all servers of a zone are dark, there are no quick answers of servers.
+        """
+        if now - called_at <= QUICK_ANSWER_SECONDS:
+            self._quick_call_at = now
+
+    def find_silences(self, now: float) -> dict[ServerKey, LocalSilence]:
+        """Returns this entry VM's evidence of servers that are silent, from its open flows."""
+        if self._is_stalled(now):
+            return {}
+        silences = self.verdicts.find_silent_openings(now)
+        servers = self.server_list.servers.values()
+        if not any(server.responsiveness.unanswered for server in servers):
+            return silences
+        latest = now - self._settings.shared_evidence.unanswered_seconds
+        for flow in self._flows:
+            server, waiting_since = flow.server, flow.waiting_since
+            if flow.opening or waiting_since is None or not flow.rounds.count:
+                continue
+            repeated_at = flow.rounds.latest_before(latest)
+            answered_at = server.responsiveness.answered_at
+            if repeated_at is None or waiting_since < answered_at or flow.is_stale(now):
+                continue
+            silence = silences.get(_key_of(server))
+            if silence is None:
+                silence = LocalSilence(0, waiting_since, repeated_at, repeated_at, answered_at)
+                silence.lossy = self._loss_detector.is_lossy(now)
+                proven = now - self._quick_call_at <= LINK_PROOF_SECONDS
+                silence.link_suspected = not proven and self._is_link_suspected(server, now)
+                silence.decided = self._is_dead(flow, now)
+                silences[_key_of(server)] = silence
+            silence.flows += 1
+            silence.silent_since = min(silence.silent_since, waiting_since)
+            silence.repeated_at = min(silence.repeated_at, repeated_at)
+            silence.latest_at = max(silence.latest_at, repeated_at)
+        return silences
+
+    def find_objections(self, now: float) -> dict[ServerKey, float]:
+        """Returns the servers in question that have answered here, with the time of the answer."""
+        answers = (
+            (_key_of(server), server.responsiveness.answered_at)
+            for server in self.server_list.servers.values()
+        )
+        return self.verdicts.find_objections(answers, now)
+
+    def find_answer(self, key: ServerKey) -> float:
+        """Returns when a server last answered here; minus infinity if it has not."""
+        server = self.server_list.servers.get(key[0])
+        if server is None or server.incarnation != key[1]:
+            return float("-inf")
+        return server.responsiveness.answered_at
+
+    def is_running(self, key: ServerKey) -> bool:
+        """Whether this incarnation of a server is known and not gone."""
+        server = self.server_list.servers.get(key[0])
+        return server is not None and server.incarnation == key[1] and not server.gone
+
+    def is_condemned(self, server: BackendServer, now: float) -> bool:
+        """Whether the zone considers a server dead and nothing here contradicts it."""
+        if not self.shares_evidence or self._is_stalled(now):
+            return False
+        answered_at = server.responsiveness.answered_at
+        return self.verdicts.is_condemned(_key_of(server), answered_at, now)
+
+    def count_condemned(self, now: float) -> int:
+        """Returns how many servers are considered dead here on the zone's evidence."""
+        return sum(self.is_condemned(server, now) for server in self.server_list.servers.values())
+
     def _open_flow(self, header: PacketHeader, now: float) -> PacketAction:
         flow = self._flows.get(header.flow)
         if flow is not None and flow.first_sequence == header.sequence:
@@ -244,6 +343,7 @@
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
+            self.verdicts.record_silent_opening(_key_of(server), flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
         if alternative is None and not self._take_token(server, now):
             self.counters["cold_refused"] += 1
@@ -337,6 +437,10 @@
             self._end_flow(flow)
             self._log_dead_server(flow, now)
             return ResetFlow("server is dead")
+        if self.is_condemned(server, now) and not (header.aborts or header.closes):
+            self._end_flow(flow)
+            self._log_dead_server(flow, now, "condemned")
+            return ResetFlow("condemned")
         if header.aborts:
             self._end_flow(flow)
         elif header.closes and not flow.closing:
@@ -357,10 +461,20 @@
             self._is_link_suspected(server, now),
         )
 
-    def _log_dead_server(self, flow: PacketFlow, now: float) -> None:
+    def _avoid_condemned_servers(self, now: float) -> None:
+        if not self.shares_evidence or self.verdicts.are_empty(now):
+            return
+        for server in self.server_list.servers.values():
+            evidence = server.responsiveness
+            if self.verdicts.is_avoided(_key_of(server), evidence.answered_at, now):
+                evidence.suspect(now + AVOID_SECONDS)
+
+    def _log_dead_server(
+        self, flow: PacketFlow, now: float, reason: str = "server is dead"
+    ) -> None:
         lossy = self._loss_detector.is_lossy(now)
         link_suspected = self._is_link_suspected(flow.server, now)
-        log_dead_server(flow, self.server_list, lossy, link_suspected, now)
+        log_dead_server(flow, self.server_list, lossy, link_suspected, now, reason)
 
     def _is_stalled(self, now: float) -> bool:
         return now - self._last_tick_at > self._settings.silence.stall_seconds
@@ -493,6 +607,37 @@
                 resets.append(FlowReset(flow.key, flow.acknowledged))
         return resets
 
+    def _reset_idle_flows(self, now: float) -> list[FlowReset]:
+        """Resets idle flows of dead servers, so that the callers' next requests open new flows."""
+        dead_servers: dict[ServerKey, str] = {}
+        for server in self.server_list.labels.servers():
+            if self._are_idle_flows_dead(server, now):
+                dead_servers[_key_of(server)] = "server is dead"
+            elif self.is_condemned(server, now):
+                dead_servers[_key_of(server)] = "condemned"
+        if not dead_servers:
+            return []
+        resets = []
+        for flow in list(self._flows):
+            busy = flow.opening or flow.closing or flow.waiting_since is not None
+            reason = dead_servers.get(_key_of(flow.server))
+            if not busy and reason is not None:
+                self._end_flow(flow)
+                self._log_dead_server(flow, now, reason)
+                self.counters["reset_idle"] += 1
+                resets.append(FlowReset(flow.key, flow.acknowledged))
+        return resets
+
+    def _are_idle_flows_dead(self, server: BackendServer, now: float) -> bool:
+        return is_idle_flow_dead(
+            server.responsiveness,
+            ListStatus(server.unlisted_since, server.gone),
+            self._loss_detector.is_lossy(now),
+            now,
+            self._settings.silence,
+            self._is_link_suspected(server, now),
+        )
+
     def _evict_expired_flows(self, now: float) -> None:
         max_age_seconds = self._settings.flow_max_seconds
         idle_seconds = min(
@@ -511,6 +656,7 @@
 
         During the stall it forwarded no packets, so missing answers prove nothing.
         """
+        self.verdicts.discard()
         for server in self.server_list.servers.values():
             server.responsiveness.discard_evidence()
         for control in self._overload_controls.values():
@@ -537,3 +683,7 @@
     def _drop(self, reason: str) -> DropPacket:
         log_event(logger, LogEvent.FLOW_DROPPED, reason=reason)
         return DropPacket(reason)
+
+
+def _key_of(server: BackendServer) -> ServerKey:
+    return server.name, server.incarnation
--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/flow_dumps.py
@@ -80,4 +80,6 @@
         limit = balancer.warmup_limit(server.service)
         share = balancer.cold_starts.describe(server, limit, now)
         description["cold"] = {"seconds_left": round(server.warm_at - now, 2), **share}
+    if balancer.shares_evidence:
+        description["condemned"] = balancer.is_condemned(server, now)
     return description
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -128,6 +128,7 @@
         Entries after the version up to which the drains are known are asked for again, since the
         drains of an answer begin at the same version.
         """
+        shares_evidence = self._balancer.shares_evidence
         version = self._balancer.server_list.known_version
         routes_version, routes_era = (
             self._balancer.routes.order if self._balancer.routes else (0, 0)
@@ -135,6 +136,7 @@
         return (
             f"/v1/published?after={version.revision}&era={version.era}&routes={routes_version}"
             f"&routes_era={routes_era}&wait={wait}&compress=true"
+            + (f"&evidence={self._balancer.verdicts.version}" if shares_evidence else "")
         )
 
     def _apply_response(self, address: Address, body: bytes, now: float) -> bool:
@@ -151,6 +153,8 @@
                 else:
                     reason = f"drains of zones not known as of {state.era}.{state.revision}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
+                if self._balancer.shares_evidence:
+                    self._balancer.apply_evidence(state.evidence, now)
                 self._publisher.notify()
                 return True
             case Err(reason):
