--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -195,9 +195,15 @@
                 has_servers=count > 0,
                 era=state.version.era,
                 revision=state.version.revision,
-                list_age=round(now - self.confirmed_at, 2),
+                list_age=self._age(now),
             )
 
+    def _age(self, now: float) -> float | None:
+        """Returns the age of the known state in seconds; None if nothing was confirmed yet."""
+        if self.confirmed_at == float("-inf"):
+            return None
+        return round(now - self.confirmed_at, 2)
+
     def _replace(self, changes: ListChanges, now: float) -> None:
         """Replaces all entries by the first snapshot of a newer era; see the module's comment."""
         previous, removed = self.version, self._removed
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -529,6 +529,10 @@
                 self.put(name)
             case "remove":
                 self.store.remove(f"servers/{name}")
+            case "drain":
+                self.store.put(f"op/evacuate/{name}", {})
+            case "return":
+                self.store.remove(f"op/evacuate/{name}")
             case "copy":
                 self.copy = self.store.take_copy()
             case "restore":
@@ -540,7 +544,9 @@
 
 
 store_changes = st.tuples(
-    st.sampled_from(["put", "put", "remove", "copy", "restore", "compact", "refuse"]),
+    st.sampled_from(
+        ["put", "put", "remove", "drain", "return", "copy", "restore", "compact", "refuse"]
+    ),
     st.sampled_from(["i-1", "i-2", "i-3", "i-4", "i-5"]),
 )
 reads = st.tuples(
@@ -572,9 +578,10 @@
         assert (await reader.read(0.0)).is_ok()
         records = balancer.server_list.changes_since(StateVersion()).records
         stored = restored.store.take_copy().items.values()
-        assert {f"servers/{entry.name}": entry.revision for entry in records} == {
-            entry["key"]: entry["revision"] for entry in stored
-        }
+        drains = balancer.server_list.drains.snapshot()
+        assert {f"servers/{entry.name}": entry.revision for entry in records} | {
+            f"op/evacuate/{drain.zone}": drain.revision for drain in drains
+        } == {entry["key"]: entry["revision"] for entry in stored}
 
     asyncio.run(scenario())
 
--- a/tests/test_zone_drains.py
+++ b/tests/test_zone_drains.py
@@ -207,6 +207,14 @@
     ]
 
 
+def test_the_log_of_a_drain_that_is_known_from_the_start_has_no_age(caplog):
+    """Infinity would be no valid JSON."""
+    caplog.set_level(logging.INFO)
+    ServerList(ListSettings()).apply(changes(start(101), whole=True), START)
+    logged = [entry for entry in caplog.records if entry.event == LogEvent.ZONE_DRAIN_BEGAN]
+    assert [entry.fields["list_age"] for entry in logged] == [None]
+
+
 events = st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20)
 
 
