--- a/tests/test_zone_drains.py
+++ b/tests/test_zone_drains.py
@@ -99,6 +99,17 @@
     assert subject.drains.find("b").version == StateVersion(0, 110)
 
 
+def test_a_snapshot_from_before_a_drain_does_not_end_it():
+    """A whole read in pages finds a drain that was written after its first page."""
+    subject = make_list()
+    records = subject.changes_since(StateVersion()).records
+    subject.apply(changes(start(105), revision=103, whole=True, records=records), START)
+    subject.apply(changes(revision=104, whole=True, records=records), START)
+    assert drained(subject) == ["s-2"]
+    subject.apply(changes(revision=105, whole=True, records=records), START)
+    assert drained(subject) == []
+
+
 def test_a_snapshot_of_an_older_build_keeps_the_drains_and_does_not_make_them_known():
     fresh = ServerList(ListSettings())
     old = msgspec.structs.replace(snapshot(record("s-2", zone="b")), drains=None)
