--- a/tests/test_zone_drains.py
+++ b/tests/test_zone_drains.py
@@ -99,6 +99,17 @@
     assert subject.drains.find("b").version == StateVersion(0, 110)
 
 
+def test_a_snapshot_from_before_a_drain_does_not_end_it():
+    """A whole read in pages finds a drain that was written after its first page."""
+    subject = make_list()
+    records = subject.changes_since(StateVersion()).records
+    subject.apply(changes(start(105), revision=103, whole=True, records=records), START)
+    subject.apply(changes(revision=104, whole=True, records=records), START)
+    assert drained(subject) == ["s-2"]
+    subject.apply(changes(revision=105, whole=True, records=records), START)
+    assert drained(subject) == []
+
+
 def test_a_snapshot_of_an_older_build_keeps_the_drains_and_does_not_make_them_known():
     fresh = ServerList(ListSettings())
     old = msgspec.structs.replace(snapshot(record("s-2", zone="b")), drains=None)
@@ -207,6 +218,14 @@
     ]
 
 
+def test_the_log_of_a_drain_that_is_known_from_the_start_has_no_age(caplog):
+    """Infinity would be no valid JSON."""
+    caplog.set_level(logging.INFO)
+    ServerList(ListSettings()).apply(changes(start(101), whole=True), START)
+    logged = [entry for entry in caplog.records if entry.event == LogEvent.ZONE_DRAIN_BEGAN]
+    assert [entry.fields["list_age"] for entry in logged] == [None]
+
+
 events = st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20)
 
 
@@ -226,8 +245,9 @@
             state = changes(truth[zone])
         leader.apply(state, START)
         if number in asked_at:
-            late = leader.changes_since(StateVersion(0, max(100, revision - 4)))
-            follower.apply(late, START)
+            follower.apply(leader.changes_since(follower.known_version), START)
+            earlier = StateVersion(0, max(100, follower.version.revision - 4))
+            follower.apply(leader.changes_since(earlier), START)
     follower.apply(leader.changes_since(follower.known_version), START)
     expected = {zone for zone, drain in truth.items() if drain.drained}
     for subject in (leader, follower):
