--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -26,7 +26,7 @@
     is_idle_flow_dead,
 )
 from .flow_labels import derive_label
-from .flow_logs import log_dead_server, log_isolation, log_overload, log_placement, log_silence
+from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
 from .flow_settings import PacketVmSettings
 from .latencies import LatencyHistogram
 from .logs import LogEvent, log_event
@@ -37,7 +37,6 @@
 from .routes import Route, RouteChanges, RouteHistory, RouteTable
 from .server_lists import ServerList
 from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey, Verdicts
-from .zone_isolations import IsolationMonitor
 
 logger = logging.getLogger(__name__)
 
@@ -79,7 +78,6 @@
         self._unknown_labels: dict[int, float] = {}
         self._loss_detector = LossDetector(settings.silence)
         self._own_link = OwnLinkMonitor()
-        self._isolation = IsolationMonitor(settings.isolation)
         self._overload_controls: dict[str, OverloadControl] = {}
         self._quick_call_at = float("-inf")
         self._last_tick_at = now
@@ -105,10 +103,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether routes, servers and drains are known and servers can be reached."""
+        """Whether routes, servers and drains of zones are known, so that flows can be placed."""
         server_list = self.server_list
-        known = self._routes is not None and server_list.loaded and server_list.drains.known
-        return known and self._isolation.isolation is None
+        return self._routes is not None and server_list.loaded and server_list.drains.known
 
     @property
     def shares_evidence(self) -> bool:
@@ -193,7 +190,6 @@
         self._last_tick_at = now
         self.server_list.expire(now)
         self._update_overload_controls(now)
-        self._update_isolation(now)
         self._avoid_condemned_servers(now)
         resets = self._reset_flows_of_dead_servers(now)
         if self.shares_evidence and not was_stalled:
@@ -320,14 +316,6 @@
             now,
         )
 
-    def _update_isolation(self, now: float) -> None:
-        monitor, server_list = self._isolation, self.server_list
-        before = monitor.isolation
-        drained = server_list.drains.is_drained(self._settings.zone)
-        monitor.update(drained, server_list.confirmed_at, now)
-        if (monitor.isolation is None) != (before is None):
-            log_isolation(self._settings.zone, monitor.isolation is not None, server_list, now)
-
     def _update_overload_controls(self, now: float) -> None:
         for service, control in self._overload_controls.items():
             was_refusing = control.level > 0
@@ -355,7 +343,6 @@
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
-            self._record_isolation(flow, not flow.tried)
             self.verdicts.record_silent_opening(_key_of(server), flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
         if alternative is None and not self._take_token(server, now):
@@ -553,7 +540,6 @@
             self._loss_detector.record_loss(now)
             log_event(logger, LogEvent.SERVER_ANSWERS, server=server.name)
         server.responsiveness.record_answer(now)
-        self._isolation.record_answer(server.zone == self._settings.zone)
 
     def _record_answer_time(self, flow: PacketFlow, seconds: float, now: float) -> None:
         """Records how long a request took that was not retransmitted."""
@@ -569,17 +555,12 @@
     def _record_retransmission(self, flow: PacketFlow, now: float) -> None:
         server = flow.server
         self._own_link.record_retransmission(server.name, now)
-        self._record_isolation(flow, flow.rounds.count == 1)
         if flow.waiting_since >= server.responsiveness.answered_at:
             self._suspect(server, flow.waiting_since, now)
         server.responsiveness.record_retransmission(
             flow.waiting_since, now, self._settings.silence.doubt_seconds, flow.rounds.count
         )
 
-    def _record_isolation(self, flow: PacketFlow, is_first: bool) -> None:
-        if flow.server.zone != self._settings.zone:
-            self._isolation.record_retransmission(flow.server.name, flow.waiting_since, is_first)
-
     def _suspect(self, server: BackendServer, waiting_since: float, now: float) -> None:
         """Keeps new flows from a server that has not answered, and logs when this begins."""
         evidence = server.responsiveness
@@ -676,7 +657,6 @@
         During the stall it forwarded no packets, so missing answers prove nothing.
         """
         self.verdicts.discard()
-        self._isolation.discard_evidence()
         for server in self.server_list.servers.values():
             server.responsiveness.discard_evidence()
         for control in self._overload_controls.values():
--- a/marjoramford/flow_logs.py
+++ b/marjoramford/flow_logs.py
@@ -84,13 +84,3 @@
         level=round(control.level, 2),
         latency_share=round(control.latency_share, 2),
     )
-
-
-def log_isolation(zone: str, is_isolated: bool, server_list: ServerList, now: float) -> None:
-    """Logs that this entry VM withdraws from rotation, or is back."""
-    log_event(
-        logger,
-        LogEvent.ISOLATION_BEGAN if is_isolated else LogEvent.ISOLATION_ENDED,
-        zone=zone,
-        list_age=round(now - server_list.confirmed_at, 2),
-    )
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -99,22 +99,6 @@
     timeout: Seconds = 0.3
 
 
-class IsolationSettings(_Section):
-    """When an entry VM of a drained zone withdraws from rotation; see `zone_isolations`.
-
-    Attributes:
-        silent_seconds: silence of all servers that is required, in seconds; above a restart of the
-            links and the time after which a single dead server is found.
-        min_silent_servers: number of servers that must be silent meanwhile.
-        min_seconds: shortest withdrawal, in seconds; the fabric needs two probes to notice one, and
-            an end while the cut lasts costs callers `silent_seconds` again.
-    """
-
-    silent_seconds: Seconds = 1.0
-    min_silent_servers: Annotated[int, Meta(ge=1, le=1000)] = 3
-    min_seconds: Seconds = 3.0
-
-
 class PlacementSettings(_Section):
     """Weights for the placement of new flows.
 
@@ -307,7 +291,6 @@
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     silence: SilenceSettings = SilenceSettings()
     shared_evidence: SharedEvidenceSettings = SharedEvidenceSettings()
-    isolation: IsolationSettings = IsolationSettings()
     placement: PlacementSettings = PlacementSettings()
     overload: OverloadSettings = OverloadSettings()
     cold_starts: ColdStartSettings = ColdStartSettings()
