A server is condemned only after a follower could object

Cause: with a full link of the reader neither its question nor objections arrive within the time to object, so it would condemn without having asked. Change: the time to object begins when a follower's next request shows that it has the question.

--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -116,6 +116,8 @@
         """
         if self._collector is None:
             evidence = None
+        if evidence is not None:
+            self._collector.acknowledge(evidence, time.monotonic())
         known = _KnownVersions(revision, era, routes_version, routes_era, evidence)
         deadline = time.monotonic() + wait
         while not self._has_changes(known):
--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/shared_evidence.py
@@ -8,8 +8,9 @@
 Entry VMs report silent servers to readers of their zone (`peer_groups`), each of which decides for
 its followers. A verdict resets flows, so a false one is worse than a late one: an answer that any
 entry VM has seen since the silence began prevents it, and a server is in question for some time,
-in which all can object, before it is condemned. Reports carry ages, since clocks differ. A delayed
-report makes silence and answers seem later than they were.
+in which all can object, before it is condemned. That time begins when a follower has the question.
+Reports carry ages, since clocks differ. A delayed report makes silence and answers seem later than
+they were.
 """
 
 import logging
@@ -227,6 +228,8 @@
     Attributes:
         answered_at: the last answer that any entry VM reported.
         questioned_at: since when it is in question; None if it is not.
+        question_version: the first published version in which it is in question; 0 before that.
+        acknowledged_at: when a follower first showed that it has that version.
         last_seconds: length of its latest condemnation; 0 if there was none.
         last_ended_at: when that condemnation and its probation ended.
     """
@@ -235,10 +238,18 @@
     answered_at: float = float("-inf")
     answered_by: str = ""
     questioned_at: float | None = None
+    question_version: int = 0
+    acknowledged_at: float = float("inf")
     condemnation: _Condemnation | None = None
     last_seconds: float = 0.0
     last_ended_at: float = float("-inf")
 
+    def end_question(self) -> None:
+        """Puts the server out of question."""
+        self.questioned_at = None
+        self.question_version = 0
+        self.acknowledged_at = float("inf")
+
 
 class _Silence(msgspec.Struct, frozen=True):
     """The reports about one server that count, added up.
@@ -331,9 +342,24 @@
             if not case.reports and case.condemnation is None and not self._remembers(case, now):
                 del self._cases[key]
         changed = self._describe() != before
-        self._version += changed
+        if changed:
+            self._version += 1
+            for case in self._cases.values():
+                if case.questioned_at is not None and not case.question_version:
+                    case.question_version = self._version
         return changed
 
+    def acknowledge(self, version: int, now: float) -> None:
+        """Records that a follower has a version, so that it can object to what is in question.
+
+        Over a full link of the reader neither the question nor objections would arrive in time.
+        """
+        if not 0 < version <= self._version:
+            return
+        for case in self._cases.values():
+            if 0 < case.question_version <= version:
+                case.acknowledged_at = min(case.acknowledged_at, now)
+
     def publish(self, now: float, known_version: int = 0) -> PublishedEvidence | None:
         """Returns the decisions for a follower that has a version; None if there are none."""
         if not self._has_decisions():
@@ -416,21 +442,21 @@
             return
         silence = self._add_up(case)
         if silence is None or silence.flows < self._settings.question_flows:
-            case.questioned_at = None
+            case.end_question()
             return
         if case.questioned_at is None:
             case.questioned_at = now
-        if self._is_dead(silence, case.questioned_at, now):
+        if self._is_dead(silence, case.acknowledged_at, now):
             self._condemn(key, case, silence, now)
 
-    def _is_dead(self, silence: _Silence, questioned_at: float, now: float) -> bool:
+    def _is_dead(self, silence: _Silence, acknowledged_at: float, now: float) -> bool:
         settings = self._settings
         # One flow may be silent because of its caller's path, so `decided` does not suffice.
         enough = silence.decided or silence.entry_vms >= settings.min_entry_vms
         factor = LOSSY_FACTOR if silence.lossy else 1
         enough = enough and silence.flows >= factor * settings.min_flows
         silent_long = silence.seconds >= factor * settings.silent_seconds
-        return enough and silent_long and now - questioned_at >= settings.objection_seconds
+        return enough and silent_long and now - acknowledged_at >= settings.objection_seconds
 
     def _continue_probation(
         self, key: ServerKey, case: _Case, condemnation: _Condemnation, now: float
@@ -448,7 +474,7 @@
         if case.last_seconds and case.answered_at <= case.last_ended_at:
             seconds = min(settings.max_condemned_seconds, 2 * case.last_seconds)
         questioned_at = now if case.questioned_at is None else case.questioned_at
-        case.questioned_at = None
+        case.end_question()
         case.last_seconds = seconds
         case.condemnation = _Condemnation(silence.since, seconds, now + seconds)
         log_event(
