--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/shared_evidence.py
@@ -159,9 +159,9 @@
 
         Args:
             silences: the servers that are silent here.
-            find_answer: returns the time of a server's last answer here; minus infinity if none.
             objections: servers that answered here after the reader saw their silence begin, with
                 the time of the answer.
+            find_answer: returns the time of a server's last answer here; minus infinity if none.
             now: time on the monotonic clock, in seconds.
         """
         reports = []
