Emulator: cold servers, zone drains and zones that stop, with two checks

Change: servers are cold for a set time after each start (work takes 5 times as long) and their entries say so; the store holds drains of zones, also across restores; the faults StopZoneServers and DrainZone (ending warm or cold) with the fault sets "zones" and "zones and all". EVAC checks each opening packet at servers, with the entry VM that sent it and how long that VM has read the store; FAILBACK counts first opening packets of flows at a cold server in a sliding second. A refusal is excused while all running servers are in drained zones or cold under a limit.

Both checks report violations with this build, which knows neither drains nor limits (test_detects_new_flows_in_a_drained_zone, test_detects_too_many_flows_at_cold_servers).

--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/packet_comparisons.py
@@ -191,15 +191,18 @@
 
 
 def run_with_faults(
-    plan: PacketPlan, timed_faults: Sequence[tuple[float, PacketFault]]
+    plan: PacketPlan,
+    timed_faults: Sequence[tuple[float, PacketFault]],
+    settings: PacketWorldSettings | None = None,
 ) -> PacketMeasures:
     """Runs one experiment with faults in addition to those that its plan draws.
 
     Args:
         plan: parameters of the experiment.
         timed_faults: the faults, each with its time in seconds after the start of the traffic.
+        settings: settings of the simulation.
     """
-    experiment = PacketExperiment(plan)
+    experiment = PacketExperiment(plan, settings)
     for seconds, fault in timed_faults:
         _schedule_fault(experiment.world, seconds, fault)
     return experiment.run()
--- a/marjoramford/standins/packet_catalogues.py
+++ b/marjoramford/standins/packet_catalogues.py
@@ -1,12 +1,13 @@
-"""Simulated metadata store of the platform: server entries and versions of the routes.
+"""Simulated metadata store of the platform: server entries, versions of the routes, zone drains.
 
 The store can be restored from a copy. It then lacks what was written after the copy was taken,
 assigns the same revisions again, and starts a new era.
 """
 
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 
-from msgspec.structs import replace
+import msgspec
 
 from ..records import VmRecord
 from ..routes import Route, RouteTable, WeightedService
@@ -41,6 +42,8 @@
         records: the servers' entries, by name.
         removed: revision of the removal of each removed entry, by name.
         routes: the stored version of the routes; None before the first.
+        drained: revision of the drain of each drained zone.
+        returned: revision of the end of the last drain of each zone that is not drained.
     """
 
     written_at: float
@@ -48,6 +51,8 @@
     records: dict[str, VmRecord]
     removed: dict[str, int]
     routes: PublishedRoutes | None
+    drained: dict[str, int]
+    returned: dict[str, int]
 
 
 class PacketCatalogue:
@@ -56,6 +61,8 @@
     Args:
         route_ip: address of all routes, as a 32-bit number.
         target_seconds: target latency of all routes; 0 if they have none.
+        warmup_per_s: requests per second that a cold server of any service can handle; 0 if the
+            operator has set no limit.
 
     Attributes:
         history: all versions of the routes ever acknowledged, oldest first, including those that
@@ -65,11 +72,13 @@
         last_fault_at: when an outage of the store last began or ended, in seconds.
     """
 
-    def __init__(self, route_ip: int, target_seconds: float = 0.0):
+    def __init__(self, route_ip: int, target_seconds: float = 0.0, warmup_per_s: float = 0.0):
         self._route_ip = route_ip
         self._target_seconds = target_seconds
-        self._contents = [StoreContent(float("-inf"), 0, {}, {}, None)]
+        self._contents = [StoreContent(float("-inf"), 0, {}, {}, None, {}, {})]
         self._changed_at: dict[str, float] = {}
+        self._drain_changed_at: dict[str, float] = {}
+        self.warmup_per_s = warmup_per_s
         self.history: list[PublishedRoutes] = []
         self.restores = 0
         self.down = False
@@ -105,6 +114,11 @@
         """The servers' entries, by name."""
         return self._content.records
 
+    @property
+    def drained_zones(self) -> Collection[str]:
+        """The zones that the store holds as drained."""
+        return self._content.drained.keys()
+
     @property
     def _content(self) -> StoreContent:
         return self._contents[-1]
@@ -122,6 +136,10 @@
         """Returns when a server's entry was last written, removed or restored, in seconds."""
         return self._changed_at.get(name, float("-inf"))
 
+    def drain_changed_at(self, zone: str) -> float:
+        """Returns when a zone's drain was last written, removed or restored, in seconds."""
+        return self._drain_changed_at.get(zone, float("-inf"))
+
     def publish_routes(self, services: dict[int, str], now: float) -> None:
         """Writes the next version of the routes."""
         version = self.history[-1].version + 2 if self.history else 1
@@ -130,16 +148,15 @@
 
     def publish_routes_again(self, now: float) -> None:
         """Writes the newest version of the routes, as it was."""
-        content = self._content
-        self._write(now, content.records, content.removed, self.history[-1])
+        self._write(now, routes=self.history[-1])
 
     def put_server(self, record: VmRecord, now: float) -> None:
         """Writes a server's entry."""
         content = self._content
-        record = replace(record, revision=content.revision + 1)
+        record = msgspec.structs.replace(record, revision=content.revision + 1)
         removed = {name: at for name, at in content.removed.items() if name != record.name}
         self._changed_at[record.name] = now
-        self._write(now, content.records | {record.name: record}, removed, content.routes)
+        self._write(now, records=content.records | {record.name: record}, removed=removed)
 
     def remove_server(self, name: str, now: float) -> None:
         """Removes a server's entry, if there is one."""
@@ -148,7 +165,27 @@
             return
         records = {each: record for each, record in content.records.items() if each != name}
         self._changed_at[name] = now
-        self._write(now, records, content.removed | {name: content.revision + 1}, content.routes)
+        removed = content.removed | {name: content.revision + 1}
+        self._write(now, records=records, removed=removed)
+
+    def drain_zone(self, zone: str, now: float) -> None:
+        """Writes the drain of a zone, also if there is one already."""
+        content = self._content
+        drained = content.drained | {zone: content.revision + 1}
+        returned = {name: at for name, at in content.returned.items() if name != zone}
+        if zone not in content.drained:
+            self._drain_changed_at[zone] = now
+        self._write(now, drained=drained, returned=returned)
+
+    def return_zone(self, zone: str, now: float) -> None:
+        """Removes the drain of a zone, if there is one."""
+        content = self._content
+        if zone not in content.drained:
+            return
+        drained = {name: at for name, at in content.drained.items() if name != zone}
+        self._drain_changed_at[zone] = now
+        returned = content.returned | {zone: content.revision + 1}
+        self._write(now, drained=drained, returned=returned)
 
     def restore(self, copied_at: float, now: float) -> None:
         """Replaces the content by that of an earlier time and starts a new era.
@@ -163,10 +200,10 @@
         for name in lost.records.keys() | copy.records.keys():
             if lost.records.get(name) != copy.records.get(name):
                 self._changed_at[name] = now
+        for zone in lost.drained.keys() ^ copy.drained.keys():
+            self._drain_changed_at[zone] = now
         self.restores += 1
-        self._contents.append(
-            StoreContent(now, copy.revision, copy.records, copy.removed, copy.routes)
-        )
+        self._contents.append(replace(copy, written_at=now))
 
     def services_since(self, version: int, port: int) -> set[str]:
         """Returns the services that a version of the routes, or any later one, maps a port to."""
@@ -180,12 +217,7 @@
         """Returns the newest version acknowledged up to a time; 0 if there is none."""
         return max((r.version for r in self.history if r.acked_at <= time), default=0)
 
-    def _write(
-        self,
-        now: float,
-        records: dict[str, VmRecord],
-        removed: dict[str, int],
-        routes: PublishedRoutes | None,
-    ) -> None:
+    def _write(self, now: float, **changes: object) -> None:
+        """Appends the content with some fields of `StoreContent` changed."""
         revision = self._content.revision + 1
-        self._contents.append(StoreContent(now, revision, records, removed, routes))
+        self._contents.append(replace(self._content, written_at=now, revision=revision, **changes))
--- a/marjoramford/standins/packet_checkers.py
+++ b/marjoramford/standins/packet_checkers.py
@@ -5,7 +5,7 @@
 rules. The names of the other rules and their time limits are the platform's.
 """
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -33,6 +33,13 @@
 # long after its entry was removed, if it and the store are stable.
 LISTED_SECONDS = 1.0
 REMOVED_SECONDS = 5.0
+# An entry VM in contact with the store for this long must follow a drain acknowledged as long ago.
+EVACUATION_SECONDS = 5.0
+CONTACT_SECONDS = 5.0
+# Flows that may open at a cold server within a second: its limit times the first, plus the second.
+WARMUP_OVERAGE = 1.5
+WARMUP_SLACK = 5
+WARMUP_WINDOW_SECONDS = 1.0
 MAX_NOTES = 20
 
 
@@ -44,6 +51,10 @@
     servers: dict[str, PacketServer]
     vms: list[EmulatedVm]
 
+    @property
+    def sender(self) -> EmulatedVm | None:
+        """The entry VM whose datagram a server is handling."""
+
     def last_vm(self, key: FlowKey) -> EmulatedVm | None:
         """Returns the entry VM that received the flow's last packet."""
 
@@ -84,6 +95,9 @@
         self._server_by_flow: dict[FlowKey, str] = {}
         self._stray_packets: dict[FlowKey, _StrayPackets] = {}
         self._draining_since: dict[str, float] = {}
+        self._zones_drained_since: dict[str, float] = {}
+        self._opening_flows: defaultdict[tuple[str, int], set[FlowKey]] = defaultdict(set)
+        self._cold_openings: defaultdict[tuple[str, int], deque[float]] = defaultdict(deque)
         self._slots_taken_at: defaultdict[str, float] = defaultdict(lambda: float("-inf"))
         self._newest_routes_used: dict[tuple[str, int, int], tuple[int, float]] = {}
 
@@ -109,6 +123,14 @@
         """Records that the store has acknowledged a server's entry as leaving."""
         self._draining_since.setdefault(server, self._world.now)
 
+    def on_zone_drained(self, zone: str) -> None:
+        """Records that the store has acknowledged the drain of a zone."""
+        self._zones_drained_since.setdefault(zone, self._world.now)
+
+    def on_zone_returned(self, zone: str) -> None:
+        """Records that the store has acknowledged the end of a zone's drains."""
+        self._zones_drained_since.pop(zone, None)
+
     def on_answer(self, request: str, answer: bytes) -> None:
         """Checks that an answer belongs to the request and names a server that ran it."""
         parts = answer.decode(errors="replace").split()
@@ -140,6 +162,9 @@
                 "UNASKED", f"{server.name} received a packet of {key} that its caller never sent"
             )
         self._check_stray_packets(server, key)
+        if packet.flags & FLAG_SYN:
+            self._check_zone_drain(server, key)
+            self._check_cold_start(server, key)
 
     def on_flow_opened(self, server: PacketServer, opening: OpenedFlow) -> None:
         """Checks a flow that opened at a server: service, connection draining and routes."""
@@ -167,7 +192,7 @@
 
     def _record_slots_taken(self, service: str) -> None:
         """Records that more than half of the servers of a service have no free slot now."""
-        servers = [s for s in self._world.servers.values() if s.alive and s.service == service]
+        servers = self._usable_servers({service})
         if 2 * sum(server.load >= SLOTS for server in servers) > len(servers):
             self._slots_taken_at[service] = self._world.now
 
@@ -230,7 +255,7 @@
         if any(port not in r.services for r in routes) or not version:
             return
         services = catalogue.services_since(version, port)
-        available = [s for s in self._world.servers.values() if s.alive and s.service in services]
+        available = self._usable_servers(services)
         overloaded_since = self._world.now - OVERLOAD_SECONDS
         if any(self._slots_taken_at[service] >= overloaded_since for service in services):
             return
@@ -251,6 +276,54 @@
                 f"{server.name} accepted {opening.flow} {late:.1f} s after it started draining",
             )
 
+    def _check_zone_drain(self, server: PacketServer, key: FlowKey) -> None:
+        """Checks an opening packet at a server whose zone may be drained."""
+        now, sender = self._world.now, self._world.sender
+        late = now - self._zones_drained_since.get(server.zone, now) - EVACUATION_SECONDS
+        if late > 0 and sender is not None and sender.contact_since <= now - CONTACT_SECONDS:
+            self._record_violation(
+                "EVAC",
+                f"{sender.name} forwarded the opening packet of {key} to {server.name} {late:.1f} s"
+                f" after the drain of {server.zone} had to be in force",
+            )
+
+    def _check_cold_start(self, server: PacketServer, key: FlowKey) -> None:
+        """Checks the rate of flows whose first opening packet reaches a cold server."""
+        limit = self._world.catalogue.warmup_per_s
+        start = (server.name, server.incarnation)
+        if not limit or not server.warmup_left_seconds or key in self._opening_flows[start]:
+            return
+        self._opening_flows[start].add(key)
+        openings = self._cold_openings[start]
+        openings.append(self._world.now)
+        while openings[0] <= self._world.now - WARMUP_WINDOW_SECONDS:
+            openings.popleft()
+        if len(openings) > limit * WARMUP_OVERAGE + WARMUP_SLACK:
+            self._record_violation(
+                "FAILBACK",
+                f"{len(openings)} flows within {WARMUP_WINDOW_SECONDS} s at {server.name}, which is"
+                f" cold and handles {limit} requests per second",
+            )
+
+    def _usable_servers(self, services: Collection[str]) -> list[PacketServer]:
+        """Returns the servers of some services at which any entry VM may place a flow.
+
+        Those of drained zones and of zones that were drained until recently are left out, and cold
+        ones that have a limit: entry VMs without a share of it may not use them.
+        """
+        catalogue = self._world.catalogue
+        recently = self._world.now - EVACUATION_SECONDS
+        return [
+            server
+            for server in self._world.servers.values()
+            if server.alive
+            and server.service in services
+            and server.zone not in self._zones_drained_since
+            and server.zone not in catalogue.drained_zones
+            and catalogue.drain_changed_at(server.zone) < recently
+            and not (catalogue.warmup_per_s and server.warmup_left_seconds)
+        ]
+
     def _check_routes(self, server: PacketServer, key: FlowKey) -> None:
         """Checks that routes apply in time, and that no running entry VM returns to older ones."""
         catalogue = self._world.catalogue
--- a/marjoramford/standins/packet_faults.py
+++ b/marjoramford/standins/packet_faults.py
@@ -14,6 +14,10 @@
 # Entries that expired during an outage of the store are written again within this time after it.
 MAX_RELIST_SECONDS = 2.0
 WRITE_RETRY_SECONDS = 0.3
+# In a drain that ends cold, when the zone's servers are stopped, counted back from its end, and how
+# long they are down. Their entries do not expire meanwhile.
+MAINTENANCE_LEAD_SECONDS = 2.0
+MAINTENANCE_SECONDS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +110,32 @@
     seconds: float = 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class StopZoneServers:
+    """The servers of an availability zone stop responding, and come back cold under their names.
+
+    They close nothing, and their entries expire unless they are back before.
+
+    Attributes:
+        seconds: time until they start again.
+    """
+
+    seconds: float = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class DrainZone:
+    """The operator drains an availability zone and later returns it to service.
+
+    Attributes:
+        seconds: length of the drain.
+        cold: whether its servers are restarted shortly before the drain ends.
+    """
+
+    seconds: float = 8.0
+    cold: bool = False
+
+
 PacketFault = (
     ReplaceServer
     | CrashServer
@@ -119,6 +149,8 @@
     | RestoreStore
     | CutZone
     | LoseDatagrams
+    | StopZoneServers
+    | DrainZone
 )
 
 PLANNED = (ReplaceServer(), StopVm(), ChangeRoutes())
@@ -134,11 +166,20 @@
     CutZone(),
     LoseDatagrams(),
 )
+ZONES = (
+    DrainZone(),
+    DrainZone(seconds=2.0),
+    DrainZone(cold=True),
+    StopZoneServers(),
+    StopZoneServers(seconds=1.0),
+)
 PACKET_FAULT_SETS: dict[str, tuple[PacketFault, ...]] = {
     "none": (),
     "planned": PLANNED,
     "unplanned": UNPLANNED,
     "all": PLANNED + UNPLANNED,
+    "zones": ZONES,
+    "zones and all": ZONES + PLANNED + UNPLANNED,
 }
 
 
@@ -163,6 +204,10 @@
             return _cut_zone(world, seconds)
         case LoseDatagrams(share=share, seconds=seconds):
             return _lose_datagrams(world, share, seconds)
+        case StopZoneServers(seconds=seconds):
+            return _stop_zone_servers(world, world.random.choice(world.deployment.zones), seconds)
+        case DrainZone(seconds=seconds, cold=cold):
+            return _drain_zone(world, world.random.choice(world.deployment.zones), seconds, cold)
         case KillAllVms(down_seconds=down_seconds):
             for vm in world.vms:
                 vm.kill(down_seconds)
@@ -269,6 +314,8 @@
         for server in world.running_servers():
             _write_within(world, MAX_RELIST_SECONDS, partial(_relist, world, server))
         _write_within(world, MAX_RELIST_SECONDS, partial(_publish_routes_again, world))
+        for zone in world.wanted_drains:
+            _write_within(world, MAX_RELIST_SECONDS, partial(_write_drain_again, world, zone))
         for name in catalogue.records:
             if not world.servers[name].alive:
                 expire = partial(_expire_entry, world, name)
@@ -295,10 +342,17 @@
     """Writes the entry of a running server, unless the store has it as it should be."""
     state = "leaving" if server.name in world.checker.draining else "live"
     record = world.catalogue.records.get(server.name)
-    if server.alive and (record is None or record.state != state):
+    expected = (state, server.incarnation)
+    if server.alive and (record is None or (record.state, record.incarnation) != expected):
         world.list_server(server, state)
 
 
+def _write_drain_again(world: PacketWorld, zone: str) -> None:
+    """Writes whether a zone is drained, unless the store has it as it should be."""
+    if (zone in world.catalogue.drained_zones) != bool(world.wanted_drains[zone]):
+        world.write_drain(zone)
+
+
 def _publish_routes_again(world: PacketWorld) -> None:
     """Writes the newest routes as they were, or as a new version."""
     if world.random.random() < 0.5:
@@ -333,3 +387,36 @@
     world.set_zone_loss(zone, share)
     world.after(seconds, lambda: world.set_zone_loss(zone, 0.0))
     return zone
+
+
+def _stop_zone_servers(world: PacketWorld, zone: str, seconds: float) -> str:
+    stopped = [server for server in world.running_servers() if server.zone == zone]
+    for server in stopped:
+        world.stop_server(server)
+        expire = partial(_expire_entry, world, server.name)
+        world.after(ENTRY_EXPIRY_SECONDS, partial(_write_when_up, world, expire))
+
+    def come_back() -> None:
+        for server in stopped:
+            # A server that was leaving does not come back.
+            if server.name not in world.checker.draining:
+                world.restart_server(server)
+                _write_when_up(world, partial(_relist, world, server))
+
+    world.after(seconds, come_back)
+    return f"{len(stopped)} servers of {zone}"
+
+
+def _drain_zone(world: PacketWorld, zone: str, seconds: float, cold: bool) -> str:
+    world.wanted_drains[zone] += 1
+    _write_when_up(world, partial(world.write_drain, zone))
+
+    def end() -> None:
+        world.wanted_drains[zone] -= 1
+        _write_when_up(world, partial(world.write_drain, zone))
+
+    if cold:
+        stop = partial(_stop_zone_servers, world, zone, MAINTENANCE_SECONDS)
+        world.after(seconds - MAINTENANCE_LEAD_SECONDS, stop)
+    world.after(seconds, end)
+    return f"{zone} for {seconds} s"
--- a/marjoramford/standins/packet_servers.py
+++ b/marjoramford/standins/packet_servers.py
@@ -2,7 +2,8 @@
 
 A request is one line of text in a flow. The server has a fixed number of slots and a bounded queue.
 The answer repeats the request and names the service and the server. If the queue was full, the
-request did not run, and the answer says `busy` in place of the server.
+request did not run, and the answer says `busy` in place of the server. A server may be cold for
+some time after each start; its requests then take longer.
 """
 
 from collections import Counter, deque
@@ -26,6 +27,8 @@
 QUEUE_LIMIT = 8
 # Retransmissions of an answer before the server abandons the flow.
 MAX_RETRANSMISSIONS = 8
+# Processing time of a request at a cold server, as a multiple of that at a warm one.
+COLD_WORK_FACTOR = 5.0
 BUSY = "busy"
 
 
@@ -92,6 +95,8 @@
         opened_flows: flows that opened at this server, in order.
         counters: packets that the server could not use, by reason, and rejected requests.
         observer: receives the events of this server.
+        incarnation: number of earlier starts under this name.
+        warm_at: when its cold start is over, in seconds on the endpoint's clock.
     """
 
     def __init__(self, name: str, service: str, zone: str, work_seconds: float, random: Random):
@@ -104,6 +109,8 @@
         self.counters: Counter[str] = Counter()
         self.address: Address | None = None
         self.observer: ServerObserver | None = None
+        self.incarnation = -1
+        self.warm_at = float("-inf")
         self._server_id = server_number(name)
         self._random = random
         self._flows: dict[FlowKey, ServerFlow] = {}
@@ -121,22 +128,34 @@
         """Whether the server runs."""
         return self._endpoint is not None
 
-    def start(self, endpoint: Endpoint, address: Address, caller_port: int) -> None:
-        """Starts the server.
+    @property
+    def warmup_left_seconds(self) -> float:
+        """Remaining time of the cold start; 0 if the server is warm or does not run."""
+        return max(0.0, self.warm_at - self._endpoint.now()) if self.alive else 0.0
+
+    def start(
+        self, endpoint: Endpoint, address: Address, caller_port: int, warmup_seconds: float = 0.0
+    ) -> None:
+        """Starts the server, also again after a crash.
 
         Args:
             endpoint: clock, timer and socket of the server.
             address: address that the server receives at.
             caller_port: UDP port that all callers receive at.
+            warmup_seconds: how long the server is cold.
         """
         self._endpoint = endpoint
         self.address = address
+        self.incarnation += 1
+        self.warm_at = endpoint.now() + warmup_seconds
         self._caller_port = caller_port
 
     def crash(self) -> None:
-        """Stops at once, without closing any flow."""
+        """Stops at once, without closing any flow; its requests in progress are lost."""
         self._endpoint = None
         self._flows.clear()
+        self._queue.clear()
+        self._busy_slots = 0
 
     def has_open_flow(self, key: FlowKey) -> bool:
         """Returns whether a flow is open at this server."""
@@ -145,14 +164,15 @@
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Returns the entry that the server publishes in the store."""
-        return {
+        born = {"born": self.incarnation} if self.incarnation else {}
+        return born | {
             "service": self.service,
             "address": str(self.address),
             "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
             "state": state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": round(self.warmup_left_seconds * 1000),
             "sequence": 1,
         }
 
@@ -225,10 +245,12 @@
         self.runs[work.request] += 1
         if self.observer is not None:
             self.observer.on_request_started(self, work.request)
-        self._endpoint.after(self.work_seconds, lambda: self._finish(work))
+        factor = COLD_WORK_FACTOR if self.warmup_left_seconds else 1.0
+        incarnation = self.incarnation
+        self._endpoint.after(self.work_seconds * factor, lambda: self._finish(work, incarnation))
 
-    def _finish(self, work: WorkItem) -> None:
-        if not self.alive:
+    def _finish(self, work: WorkItem, incarnation: int) -> None:
+        if not self.alive or self.incarnation != incarnation:
             return
         self._busy_slots -= 1
         self._answer(work, self.name)
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -76,6 +76,7 @@
         self._make_balancer = make_balancer
         self._is_stopping = False
         self._store_access_denied = False
+        self._contact_since = float("inf")
         self._frozen_until = host.now
         self._buffered: list[bytes] = []
         self._codec = PlatformCodec(address.port)
@@ -100,6 +101,11 @@
         is_running = self.balancer is not None and not self._is_frozen
         return is_running and not self._store_access_denied
 
+    @property
+    def contact_since(self) -> float:
+        """Since when it has read the store without interruption, in seconds; infinity if not."""
+        return self._contact_since
+
     @property
     def _is_frozen(self) -> bool:
         return self._host.now < self._frozen_until
@@ -113,6 +119,7 @@
     def deny_store_access(self) -> None:
         """Makes the store refuse its requests."""
         self.record_fault()
+        self._contact_since = float("inf")
         self._store_access_denied = True
 
     def allow_store_access(self) -> None:
@@ -134,6 +141,7 @@
         self.record_fault(planned)
         self.boots += 1
         self.balancer = None
+        self._contact_since = float("inf")
         self._host.after(down_seconds, self._if_same_boot(lambda: self.start(planned)))
 
     def stop(self) -> None:
@@ -151,6 +159,7 @@
     def freeze(self, seconds: float) -> None:
         """Suspends the process; datagrams that arrive meanwhile are buffered."""
         self.record_fault()
+        self._contact_since = float("inf")
         self._frozen_until = self._host.now + seconds
         self._host.after(seconds, self._if_same_boot(self._thaw))
 
@@ -185,8 +194,10 @@
 
     def _read_store(self) -> None:
         if self._store_access_denied or self._catalogue.down:
+            self._contact_since = float("inf")
             self.balancer.server_list.mark_unreachable(self._host.now)
             return
+        self._contact_since = min(self._contact_since, self._host.now)
         server_list = self.balancer.server_list
         server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
         server_list.confirm(self._host.now)
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -4,6 +4,7 @@
 platform's wire format, and entry VMs make their decisions with the product's `FlowBalancer`.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -51,6 +52,9 @@
         loss: fraction of the datagrams from and to callers that are lost.
         flow_hash: how the fabric chooses the entry VM of a flow.
         target_seconds: target latency that the routes name; 0 if they name none.
+        warmup_seconds: how long a server is cold after each start, except for those that run when
+            the simulation begins.
+        warmup_per_s: the operator's limit for cold servers of each service; 0 if there is none.
         make_balancer: creates the balancer of an entry VM; comparisons pass baseline policies here.
     """
 
@@ -58,6 +62,8 @@
     loss: float = 0.0
     flow_hash: FlowHash = FlowHash.RENDEZVOUS
     target_seconds: float = 0.0
+    warmup_seconds: float = 0.0
+    warmup_per_s: float = 0.0
     make_balancer: BalancerFactory = FlowBalancer
 
 
@@ -88,6 +94,7 @@
         servers: all backend servers ever started, by name, including those that no longer run.
         callers: the callers of each availability zone.
         ports: the route port of each service, by service name.
+        wanted_drains: number of drains of each zone that the operator wants to be in force now.
     """
 
     def __init__(self, deployment: Deployment, seed: int, settings: PacketWorldSettings):
@@ -96,7 +103,7 @@
         self.settings = settings
         self.random = Random(seed)
         self.network = Network(deployment, self.random, settings.loss, 0.0)
-        self.catalogue = PacketCatalogue(ROUTE_IP, settings.target_seconds)
+        self.catalogue = PacketCatalogue(ROUTE_IP, settings.target_seconds, settings.warmup_per_s)
         self.checker = PacketChecker(self)
         self.vms: list[EmulatedVm] = []
         self.servers: dict[str, PacketServer] = {}
@@ -105,15 +112,22 @@
             service.name: FIRST_ROUTE_PORT + number
             for number, service in enumerate(deployment.services)
         }
+        self.wanted_drains: Counter[str] = Counter()
         self._last_fault_at: dict[str, float] = {}
         self._loss_by_zone: dict[str, float] = {}
         self._server_by_address: dict[Address, PacketServer] = {}
         self._free_addresses: list[Address] = []
         self._last_vm: dict[FlowKey, EmulatedVm] = {}
+        self._sender: EmulatedVm | None = None
         self._vm_by_address: dict[Address, EmulatedVm] = {}
         self._caller_by_ip: dict[str, PacketCaller] = {}
         self._start_components()
 
+    @property
+    def sender(self) -> EmulatedVm | None:
+        """The entry VM that sent the datagram which a server is handling now."""
+        return self._sender
+
     def last_vm(self, key: FlowKey) -> EmulatedVm | None:
         """Returns the entry VM that the fabric chose for the flow's last packet."""
         return self._last_vm.get(key)
@@ -138,13 +152,16 @@
 
     # Servers
 
-    def start_server(self, service: str, zone: str, reuse_address: bool = False) -> PacketServer:
+    def start_server(
+        self, service: str, zone: str, reuse_address: bool = False, warm: bool = False
+    ) -> PacketServer:
         """Starts a server and publishes its entry in the store.
 
         Args:
             service: name of the service.
             zone: availability zone of the server.
             reuse_address: give the server the address of a terminated one, if there is any.
+            warm: start it without a cold start.
         """
         number = len(self.servers) + 1
         server = PacketServer(
@@ -153,14 +170,23 @@
         address = Address(f"10.9.{number // 250}.{number % 250 + 1}", 8000)
         if reuse_address and self._free_addresses:
             address = self._free_addresses.pop()
-        endpoint = WorldEndpoint(self, lambda data, to: self._deliver_to_caller(zone, data, to))
-        server.start(endpoint, address, CALLER_PORT)
+        self._start_process(server, address, 0.0 if warm else self.settings.warmup_seconds)
         server.observer = self.checker
         self.servers[server.name] = server
         self._server_by_address[address] = server
         self.list_server(server)
         return server
 
+    def restart_server(self, server: PacketServer) -> None:
+        """Starts a stopped server again under its name and address, without listing it."""
+        self.record_fault(server.name)
+        self._start_process(server, server.address, self.settings.warmup_seconds)
+
+    def _start_process(self, server: PacketServer, address: Address, warmup_seconds: float) -> None:
+        zone = server.zone
+        endpoint = WorldEndpoint(self, lambda data, to: self._deliver_to_caller(zone, data, to))
+        server.start(endpoint, address, CALLER_PORT, warmup_seconds)
+
     def list_server(self, server: PacketServer, state: str = "live") -> None:
         """Writes a server's entry to the store, with the state `live` or `leaving`."""
         if state == "leaving":
@@ -168,7 +194,7 @@
         record = VmRecord(
             name=server.name,
             revision=1,
-            incarnation=0,
+            incarnation=server.incarnation,
             role="server",
             zone=server.zone,
             host=server.address.host,
@@ -176,15 +202,20 @@
             http_port=server.address.port,
             service=server.service,
             slots=SLOTS,
+            warm_at=server.warm_at if server.warmup_left_seconds else 0.0,
             state=state,
         )
         self.catalogue.put_server(record, self.now)
 
     def terminate_server(self, server: PacketServer) -> None:
         """Terminates a server without closing its flows, and frees its address for reuse."""
+        self.stop_server(server)
+        self._free_addresses.append(server.address)
+
+    def stop_server(self, server: PacketServer) -> None:
+        """Stops a server without closing its flows; it may start again at its address."""
         self.record_fault(server.name)
         server.crash()
-        self._free_addresses.append(server.address)
 
     def running_servers(self, service: str | None = None) -> list[PacketServer]:
         """Returns the running servers of one service, or of all services."""
@@ -194,6 +225,17 @@
             if server.alive and service in (None, server.service)
         ]
 
+    # Zone drains
+
+    def write_drain(self, zone: str) -> None:
+        """Writes to the store, as its operator, whether a zone is drained."""
+        if self.wanted_drains[zone]:
+            self.catalogue.drain_zone(zone, self.now)
+            self.checker.on_zone_drained(zone)
+        else:
+            self.catalogue.return_zone(zone, self.now)
+            self.checker.on_zone_returned(zone)
+
     # Network
 
     def send_to_server(self, vm: EmulatedVm, datagram: bytes, forward: Forward) -> None:
@@ -211,7 +253,9 @@
 
         def arrive() -> None:
             if server.alive and self._server_by_address.get(server.address) is server:
+                self._sender = vm
                 server.handle_datagram(datagram)
+                self._sender = None
 
         self.after(delay, arrive)
 
@@ -268,7 +312,7 @@
         self.catalogue.publish_routes(routes, self.now)
         for service in self.deployment.services:
             for number in range(service.servers):
-                self.start_server(service.name, self._zone_for(number))
+                self.start_server(service.name, self._zone_for(number), warm=True)
         for number in range(self.deployment.entry_vms):
             self._start_vm(number)
         for number, zone in enumerate(self.deployment.zones):
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -8,6 +8,7 @@
 import json
 import subprocess
 import sys
+from dataclasses import replace
 
 import pytest
 
@@ -15,6 +16,7 @@
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.packet_comparisons import run_with_faults
 from marjoramford.packet_experiments import PacketExperiment, PacketPlan
+from marjoramford.packets import FlowKey
 from marjoramford.platform.packets import PlatformCodec
 from marjoramford.routes import Route
 from marjoramford.server_lists import ServerList
@@ -22,12 +24,19 @@
 from marjoramford.standins.packet_endpoints import Packet
 from marjoramford.standins.packet_faults import (
     CutZone,
+    DrainZone,
     KillAllVms,
     RestoreStore,
+    StopZoneServers,
     TurnAwayVm,
     inject_fault,
 )
-from marjoramford.standins.packet_servers import PacketServer
+from marjoramford.standins.packet_servers import (
+    COLD_WORK_FACTOR,
+    PacketServer,
+    ServerFlow,
+    WorkItem,
+)
 from marjoramford.standins.packet_worlds import ROUTE_IP, FlowHash, PacketWorldSettings
 
 RUN_SECONDS = 20.0
@@ -100,6 +109,56 @@
     assert measures.restores == drills
 
 
+COLD = PacketWorldSettings(warmup_seconds=6.0, warmup_per_s=4.0)
+
+
+def run_zones(*timed_faults, settings=COLD, **options):
+    """Runs one experiment with faults of zones, each at a time after the start of the traffic."""
+    plan = PacketPlan(HERITAGE, 1, 20.0, **options)
+    return run_with_faults(plan, timed_faults, settings)
+
+
+def test_server_is_cold_again_after_each_start():
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
+    server = world.running_servers("booking")[0]
+    assert server.entry()["warmup_left_ms"] == 0
+    for start in (1, 2):
+        world.stop_server(server)
+        world.restart_server(server)
+        assert server.entry()["warmup_left_ms"] == 6000
+        assert server.entry()["born"] == start
+        world.run_until(world.now + 2.0)
+        assert server.entry()["warmup_left_ms"] == 4000
+    world.run_until(world.now + 4.0)
+    assert server.entry()["warmup_left_ms"] == 0
+
+
+@pytest.mark.parametrize(("at", "factor"), [(0.0, COLD_WORK_FACTOR), (6.5, 1.0)])
+def test_requests_take_longer_while_their_server_is_cold(at, factor):
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
+    server = world.running_servers("booking")[0]
+    world.restart_server(server)
+    world.run_until(world.now + at)
+    flow = ServerFlow(True, 1, 1, 1)
+    server._accept(WorkItem(FlowKey(1, 2, 3, 4), flow, "x"))
+    work_seconds = world.settings.work_seconds * factor
+    world.run_until(world.now + work_seconds - 0.01)
+    assert not flow.answer
+    world.run_until(world.now + 0.02)
+    assert flow.answer
+
+
+def test_requests_of_an_earlier_start_do_not_end_after_a_restart():
+    """A request in progress once freed a slot of the server's next start."""
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS)).world
+    server = world.running_servers("booking")[0]
+    server._accept(WorkItem(FlowKey(1, 2, 3, 4), ServerFlow(True, 1, 1, 1), "x"))
+    world.stop_server(server)
+    world.restart_server(server)
+    world.run_until(world.now + 1.0)
+    assert server.load == 0
+
+
 def test_runs_with_the_same_seed_are_identical():
     assert run(seed=5, faults="all") == run(seed=5, faults="all")
 
@@ -261,6 +320,16 @@
     assert any("has (" in note for note in notes), notes
 
 
+def test_detects_new_flows_in_a_drained_zone():
+    assert run_zones((2.0, DrainZone(10.0))).findings.broken["EVAC"]
+
+
+def test_detects_too_many_flows_at_cold_servers():
+    settings = replace(COLD, warmup_per_s=1.0)
+    findings = run_zones((5.0, StopZoneServers()), settings=settings, load=0.9).findings
+    assert findings.broken["FAILBACK"]
+
+
 @pytest.mark.parametrize(
     ("disturb", "counted"),
     [
