Emulator: the store passes drains on, and EVAC holds with the state of drains

Change: changes of the emulated store carry drains; LIST compares the servers' zone_drained with the store. DrainIgnoringBalancer is the baseline that ignores drains. Tests drain zones together with an outage of the store, restores that lose a drain or bring an ended one back, a restart of all entry VMs, a cut, overlapping drains, and servers that stop.

--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/packet_comparisons.py
@@ -7,12 +7,15 @@
 from random import Random
 from statistics import mean
 
+import msgspec
+
 from .backend_servers import BackendServer
 from .draws import choose_near_lowest
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .packet_experiments import WARMUP_SECONDS, PacketExperiment, PacketMeasures, PacketPlan
 from .routes import Route
+from .server_lists import ListChanges, ServerList
 from .standins.deployments import DEPLOYMENTS
 from .standins.packet_faults import KillAllVms, PacketFault, inject_fault
 from .standins.packet_vms import BalancerFactory
@@ -72,6 +75,22 @@
         return False
 
 
+class DrainIgnoringList(ServerList):
+    """A server list that takes no zone as drained."""
+
+    def apply(self, changes: ListChanges, now: float) -> bool:
+        """Applies changes without their drains."""
+        return super().apply(msgspec.structs.replace(changes, drains=()), now)
+
+
+class DrainIgnoringBalancer(FlowBalancer):
+    """Baseline: opens flows at servers of drained zones."""
+
+    def __init__(self, settings: PacketVmSettings, random: Random, now: float):
+        super().__init__(settings, random, now)
+        self.server_list = DrainIgnoringList(settings.servers)
+
+
 class SharedCountsBalancer(OracleBalancer):
     """Upper bound under overload: knows the requests in progress through all entry VMs.
 
--- a/marjoramford/standins/packet_catalogues.py
+++ b/marjoramford/standins/packet_catalogues.py
@@ -13,6 +13,7 @@
 from ..routes import Route, RouteTable, WeightedService
 from ..server_lists import ListChanges
 from ..state_versions import StateVersion
+from ..zone_drains import ZoneDrain
 
 IDLE_SECONDS = 15.0
 FIRST_ERA = 1
@@ -127,10 +128,16 @@
         """Returns the changes after a version of this era, or all entries."""
         content = self._content
         if version.era != self.era or version.revision > content.revision:
-            return ListChanges(tuple(content.records.values()), (), True, self.version)
+            drains = tuple(ZoneDrain(zone, at, True) for zone, at in content.drained.items())
+            return ListChanges(tuple(content.records.values()), (), True, self.version, drains)
         records = tuple(r for r in content.records.values() if r.revision > version.revision)
         removed = tuple(item for item in content.removed.items() if item[1] > version.revision)
-        return ListChanges(records, removed, False, self.version)
+        drains = tuple(
+            ZoneDrain(zone, at, zone in content.drained)
+            for zone, at in (content.drained | content.returned).items()
+            if at > version.revision
+        )
+        return ListChanges(records, removed, False, self.version, drains)
 
     def changed_at(self, name: str) -> float:
         """Returns when a server's entry was last written, removed or restored, in seconds."""
--- a/marjoramford/standins/packet_checkers.py
+++ b/marjoramford/standins/packet_checkers.py
@@ -231,6 +231,13 @@
             )
             if known != expected:
                 self._record_violation("LIST", f"{vm.name} has {known} of {name}, not {expected}")
+            is_drained = server.zone in catalogue.drained_zones
+            drain_is_due = catalogue.drain_changed_at(server.zone) <= now - LISTED_SECONDS
+            if drain_is_due and server.zone_drained != is_drained:
+                self._record_violation(
+                    "LIST",
+                    f"{vm.name} has {name} as drained: {server.zone_drained}, not {is_drained}",
+                )
         for name in self._world.servers:
             server = in_force.get(name)
             was_removed = (
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -14,7 +14,7 @@
 
 from marjoramford.backend_servers import BackendServer
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.packet_comparisons import run_with_faults
+from marjoramford.packet_comparisons import DrainIgnoringBalancer, run_with_faults
 from marjoramford.packet_experiments import PacketExperiment, PacketPlan
 from marjoramford.packets import FlowKey
 from marjoramford.platform.packets import PlatformCodec
@@ -27,6 +27,7 @@
     DrainZone,
     KillAllVms,
     RestoreStore,
+    StopStore,
     StopZoneServers,
     TurnAwayVm,
     inject_fault,
@@ -38,6 +39,7 @@
     WorkItem,
 )
 from marjoramford.standins.packet_worlds import ROUTE_IP, FlowHash, PacketWorldSettings
+from marjoramford.zone_drains import ZoneDrains, ZoneState
 
 RUN_SECONDS = 20.0
 
@@ -109,15 +111,48 @@
     assert measures.restores == drills
 
 
-COLD = PacketWorldSettings(warmup_seconds=6.0, warmup_per_s=4.0)
+COLD = PacketWorldSettings(warmup_seconds=6.0)
+# All entry VMs read the store 0.1 s before and after each multiple of 0.2 s, so that none has a
+# failed read in an outage of 0.15 s which begins this long after one.
+BETWEEN_READS = 0.12
 
 
-def run_zones(*timed_faults, settings=COLD, **options):
+def run_zones(*timed_faults, settings=COLD, deployment=HERITAGE, **options):
     """Runs one experiment with faults of zones, each at a time after the start of the traffic."""
-    plan = PacketPlan(HERITAGE, 1, 20.0, **options)
+    plan = PacketPlan(deployment, 1, 20.0, **options)
     return run_with_faults(plan, timed_faults, settings)
 
 
+@pytest.mark.parametrize(
+    "timed_faults",
+    [
+        pytest.param([(3.0, DrainZone(8.0)), (5.0, StopStore(4.0))], id="outage"),
+        pytest.param(
+            [(3.0, DrainZone(14.0)), (10.0 + BETWEEN_READS, RestoreStore(0.15, 8.0))], id="lost"
+        ),
+        pytest.param(
+            [(3.0, DrainZone(8.0)), (12.0 + BETWEEN_READS, RestoreStore(0.15, 4.0))],
+            id="brought back",
+        ),
+        pytest.param([(3.0, DrainZone(12.0, cold=True)), (6.0, KillAllVms())], id="restart"),
+        pytest.param([(3.0, DrainZone(cold=True)), (6.0, CutZone(4.0))], id="cut"),
+        pytest.param([(3.0, DrainZone()), (5.0, DrainZone()), (6.0, DrainZone())], id="overlap"),
+        pytest.param([(3.0, DrainZone(9.0)), (5.0, StopZoneServers())], id="servers stop"),
+    ],
+)
+@pytest.mark.parametrize("deployment", [HERITAGE, GRIEVANCE], ids=lambda each: each.name)
+def test_zone_drain_breaks_no_rule(timed_faults, deployment):
+    measures = run_zones(*timed_faults, deployment=deployment)
+    assert measures.promises_kept, measures.findings
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_faults_of_zones_and_others_break_no_rule(name, seed):
+    measures = run(DEPLOYMENTS[name], seed, "zones and all", 30.0, COLD, fault_interval=2.0)
+    assert measures.promises_kept, measures.findings
+
+
 def test_server_is_cold_again_after_each_start():
     world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
     server = world.running_servers("booking")[0]
@@ -321,7 +356,27 @@
 
 
 def test_detects_new_flows_in_a_drained_zone():
-    assert run_zones((2.0, DrainZone(10.0))).findings.broken["EVAC"]
+    settings = replace(COLD, make_balancer=DrainIgnoringBalancer)
+    findings = run_zones((2.0, DrainZone(10.0)), settings=settings).findings
+    assert findings.broken["EVAC"]
+    assert any("as drained: False, not True" in note for note in findings.notes), findings.notes
+
+
+def test_detects_a_drain_that_is_lost_with_the_store_restored(monkeypatch):
+    apply = ZoneDrains.apply
+
+    def forget_older_eras(self, drains, whole, version, now):
+        lost = self.drained_zones() if version.era > self.version.era else {}
+        changed = apply(self, drains, whole, version, now)
+        for zone in lost:
+            self._zones[zone] = ZoneState(False, version, now)
+        return [*changed, *lost]
+
+    monkeypatch.setattr(ZoneDrains, "apply", forget_older_eras)
+    findings = run_zones(
+        (3.0, DrainZone(14.0)), (10.0 + BETWEEN_READS, RestoreStore(0.15, 8.0))
+    ).findings
+    assert findings.broken["EVAC"]
 
 
 def test_detects_too_many_flows_at_cold_servers():
