Soak: zones are drained in series, and opening packets are checked against the bound of 5 s

Cause: no test with real processes drained a zone.

Change: the soak's operator writes and removes op/evacuate/ZONE beside all other faults, also for a zone that does not exist, twice for the same zone, and again after a restore that lost or brought back a drain. An opening packet at a server of a drained zone is a violation 5 s after the acknowledgement if the entry VM that sent it (by its source address) has been ready, running and in contact with the store for 5 s; a restore without an outage does not excuse it. The last drain lasts to the end of the run, after the faults, so that each run judges opening packets.

--- a/marjoramford/standins/packet_faults.py
+++ b/marjoramford/standins/packet_faults.py
@@ -179,7 +179,7 @@
     "unplanned": UNPLANNED,
     "all": PLANNED + UNPLANNED,
     "zones": ZONES,
-    "zones and all": ZONES + PLANNED + UNPLANNED,
+    "all-and-zones": ZONES + PLANNED + UNPLANNED,
 }
 
 
--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import time
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -25,6 +26,7 @@
 from .packet_sockets import LoopbackEndpoint, await_callback
 from .packet_stores import PacketStore
 from .rotations import PROBE_INTERVAL_SECONDS, Rotation
+from .site_drains import SiteDrains
 from .store_proxies import LOOPBACK, ProxyMode, StoreProxy
 
 ROUTE_HOST = "198.18.0.1"
@@ -49,7 +51,12 @@
 
 @dataclass(slots=True)
 class EntryVmProcess:
-    """One entry VM process, its proxy to the store, and the fabric's view of it."""
+    """One entry VM process, its proxy to the store, and the fabric's view of it.
+
+    Attributes:
+        contact_since: since when it has served, run and reached the store without interruption, in
+            seconds on the monotonic clock.
+    """
 
     name: str
     zone: str
@@ -62,6 +69,7 @@
     process: asyncio.subprocess.Process | None = None
     rotation: Rotation = field(default_factory=Rotation)
     supervisor: asyncio.Task | None = None
+    contact_since: float = float("inf")
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
@@ -76,6 +84,7 @@
     Attributes:
         asked_at_the_end: number of requests made after the recovery time.
         answered_at_the_end: number of those that were answered.
+        openings_during_drains: number of opening packets that the check of zone drains judged.
         violations: descriptions of broken invariants.
         events: log of the run, with seconds since its start.
     """
@@ -84,6 +93,7 @@
     answered: int = 0
     answered_at_the_end: int = 0
     asked_at_the_end: int = 0
+    openings_during_drains: int = 0
     violations: list[str] = field(default_factory=list)
     events: list[str] = field(default_factory=list)
 
@@ -94,6 +104,7 @@
     Attributes:
         last_fault_at: when a fault last affected the store or a connection to it, or suspended an
             entry VM, in seconds on the monotonic clock.
+        drains: the operator's drains of zones.
         servers: the running backend servers, by name.
         stopped_servers: the backend servers that no longer run, by name.
     """
@@ -102,7 +113,7 @@
         self._directory = directory
         self._random = random
         self._vms_per_zone = vms_per_zone
-        self._zones = ("zone-a", "zone-b")
+        self.zones = ("zone-a", "zone-b")
         self._tasks: set[asyncio.Task] = set()
         self._store_server: asyncio.Server | None = None
         self._next_server = 0
@@ -113,6 +124,7 @@
         self._draining: set[str] = set()
         self._restores_in_progress = 0
         self.store = PacketStore()
+        self.drains = SiteDrains(self.store, self._sender_contact_since, self.record_violation)
         self.last_fault_at = float("-inf")
         self.vms: list[EntryVmProcess] = []
         self.servers: dict[str, PacketServer] = {}
@@ -128,12 +140,12 @@
         self._store_server = await self.store.serve(Address(LOOPBACK, 0))
         store = Address(LOOPBACK, self._store_server.sockets[0].getsockname()[1])
         self.change_routes()
-        for zone in self._zones:
+        for zone in self.zones:
             for _ in range(3):
                 await self.start_server("booking", zone)
             await self.start_server("manifest", zone)
         await self._start_vms(store)
-        for number, zone in enumerate(self._zones):
+        for number, zone in enumerate(self.zones):
             for caller_number in range(2):
                 await self._start_caller(f"127.0.{100 + number}.{1 + caller_number}", zone)
         self.spawn(self._probe_vms())
@@ -196,10 +208,21 @@
         endpoint = await LoopbackEndpoint.open(address, server.handle_datagram)
         self._endpoints[server.name] = endpoint
         server.start(endpoint, address, self.packet_port)
+        server.observer = self.drains
         self.servers[server.name] = server
         self._list_server(server)
         return server
 
+    async def drain_zone(self, zone: str, seconds: float) -> None:
+        """Drains a zone for some seconds, as the operator."""
+        self.drains.begin(zone)
+        await self._wait_to_write(0.0)
+        self.drains.write(zone)
+        await asyncio.sleep(seconds)
+        self.drains.end(zone)
+        await self._wait_to_write(0.0)
+        self.drains.write(zone)
+
     async def drain_server(self, server: PacketServer) -> None:
         """Starts a successor of a server, then drains and stops the server and removes its entry.
 
@@ -237,13 +260,13 @@
     ) -> None:
         """Applies a proxy mode to one entry VM's connections to the store for some seconds."""
         vm.proxy.set_mode(mode)
-        await self._wait_during_fault(seconds)
+        await self._wait_during_fault(seconds, [vm])
         vm.proxy.set_mode("pass")
 
     async def interrupt_store(self, seconds: float) -> None:
         """Makes the store answer every request with 503 for some seconds."""
         self.store.down = True
-        await self._wait_during_fault(seconds)
+        await self._wait_during_fault(seconds, self.vms)
         self.store.down = False
 
     async def restore_store(self, copy_age: float, seconds: float) -> None:
@@ -260,7 +283,8 @@
         copy = self.store.take_copy()
         await asyncio.sleep(copy_age)
         self.store.down = True
-        await self._wait_during_fault(seconds)
+        # A restore without an outage interrupts no contact: drains must stay in force.
+        await self._wait_during_fault(seconds, self.vms if seconds else [])
         self.store.restore(copy)
         self.store.down = False
         self.record_event(f"store restored, era {self.store.era}")
@@ -268,6 +292,7 @@
         expired = [name for name in self._listed_names() if name not in self.servers]
         await asyncio.gather(
             self._publish_routes_again(),
+            self._write_drains_again(),
             *(self._list_server_again(server) for server in running),
             *(self._expire_entry(name) for name in expired),
         )
@@ -276,7 +301,7 @@
     async def pause_vm(self, vm: EntryVmProcess, seconds: float) -> None:
         """Suspends an entry VM's process for some seconds."""
         vm.signal(signal.SIGSTOP)
-        await self._wait_during_fault(seconds)
+        await self._wait_during_fault(seconds, [vm])
         vm.signal(signal.SIGCONT)
 
     # Entries in the store
@@ -307,6 +332,10 @@
         else:
             self.change_routes()
 
+    async def _write_drains_again(self) -> None:
+        await self._wait_to_write(self._random.uniform(0.0, REWRITE_SECONDS))
+        self.drains.write_again()
+
     async def _expire_entry(self, name: str) -> None:
         await self._wait_to_write(ENTRY_EXPIRY_SECONDS)
         self.store.remove(f"servers/{name}")
@@ -426,17 +455,28 @@
         if self.servers.pop(server.name, None) is not None:
             self.stopped_servers[server.name] = server
 
-    async def _wait_during_fault(self, seconds: float) -> None:
+    async def _wait_during_fault(
+        self, seconds: float, without_contact: Collection[EntryVmProcess]
+    ) -> None:
+        """Waits while a fault lasts during which some entry VMs have no contact with the store."""
         until = time.monotonic() + seconds
-        while time.monotonic() < until:
+        while True:
             self.last_fault_at = time.monotonic()
+            for vm in without_contact:
+                vm.contact_since = self.last_fault_at
+            if self.last_fault_at >= until:
+                return
             await asyncio.sleep(0.1)
-        self.last_fault_at = time.monotonic()
+
+    def _sender_contact_since(self, server: PacketServer) -> float:
+        """Returns `contact_since` of the entry VM that sent a server its last datagram."""
+        sender = self._endpoints[server.name].sender
+        return next(vm.contact_since for vm in self.vms if vm.ip == sender)
 
     async def _start_vms(self, store: Address) -> None:
         ready_port, control_port = _free_port(), _free_port()
-        places = [(zone, n) for zone in self._zones for n in range(self._vms_per_zone)]
-        ips = [f"127.0.{10 + self._zones.index(zone)}.{1 + n}" for zone, n in places]
+        places = [(zone, n) for zone in self.zones for n in range(self._vms_per_zone)]
+        ips = [f"127.0.{10 + self.zones.index(zone)}.{1 + n}" for zone, n in places]
         for (zone, number), ip in zip(places, ips, strict=True):
             proxy = StoreProxy(store)
             name = f"front-{zone}-{number + 1}"
@@ -481,6 +521,7 @@
                     *command, stdout=log, stderr=log, env=environment
                 )
                 exit_code = await vm.process.wait()
+            vm.contact_since = float("inf")
             self.record_event(f"{vm.name} exited with code {exit_code}")
             if exit_code not in (0, -signal.SIGKILL):
                 self.record_violation(f"{vm.name} exited with code {exit_code}")
@@ -494,7 +535,12 @@
 
     async def _probe_vm(self, vm: EntryVmProcess, client: HttpClient) -> None:
         reply = await client.get("/v1/ready", PROBE_INTERVAL_SECONDS)
-        vm.rotation.record_probe(reply.is_ok() and reply.ok_value.status == 200)
+        is_ready = reply.is_ok() and reply.ok_value.status == 200
+        vm.rotation.record_probe(is_ready)
+        if not is_ready:
+            vm.contact_since = float("inf")
+        elif vm.contact_since == float("inf"):
+            vm.contact_since = time.monotonic()
 
 
 def _route(port: int, service: str) -> dict[str, object]:
--- a/marjoramford/standins/packet_soaks.py
+++ b/marjoramford/standins/packet_soaks.py
@@ -11,6 +11,9 @@
 
 RECOVERY_SECONDS = 6.0
 FINAL_REQUESTS_SECONDS = 2.0
+# Short drains, and such as last long enough for the check that they are in force.
+ZONE_DRAIN_SECONDS = (0.3, 2.0, 8.0, 12.0)
+UNKNOWN_ZONE = "zone-unknown"
 PROXY_MODES = ("delay", "reset", "silent", "one way")
 
 
@@ -33,10 +36,11 @@
             asyncio.create_task(_send_requests(site, caller, number, recovery_over))
             for number, caller in enumerate(site.callers)
         ]
-        # The restores are drawn by themselves, so that a seed keeps its other faults.
+        # Restores and drains are drawn by themselves, so that a seed keeps its other faults.
         await asyncio.gather(
             _inject_faults(site, Random(seed + 1), seconds),
             _inject_restores(site, Random(seed + 2), seconds),
+            _inject_zone_drains(site, Random(seed + 3), seconds),
         )
         await asyncio.sleep(RECOVERY_SECONDS)
         recovery_over.set()
@@ -47,6 +51,7 @@
         for result in await asyncio.gather(*callers, return_exceptions=True):
             if not isinstance(result, asyncio.CancelledError):
                 site.record_violation(f"the task of a caller ended with {result!r}")
+        site.findings.openings_during_drains = site.drains.checked_packets
         _check_recovery(site)
         return site.findings
 
@@ -92,6 +97,27 @@
         await asyncio.sleep(random.choice((1.0, 3.0, 6.0)))
 
 
+async def _inject_zone_drains(site: PacketSite, random: Random, seconds: float) -> None:
+    """Drains zones in series that overlap each other and the other faults.
+
+    Mostly the same zone is drained, since callers get no answer while all are. Its last drain lasts
+    to the end of the run, so that most entry VMs have contact with the store long enough to be
+    checked; the others end in the recovery time.
+    """
+    until = time.monotonic() + seconds
+    usual = random.choice(site.zones)
+    zones = (usual, usual, usual, random.choice(site.zones), UNKNOWN_ZONE)
+    while time.monotonic() < until:
+        zone = random.choice(zones)
+        remaining = until + RECOVERY_SECONDS / 2 - time.monotonic()
+        duration = min(random.choice(ZONE_DRAIN_SECONDS), remaining)
+        site.record_event(f"zone drain {zone} {duration:.1f} s")
+        site.spawn(site.drain_zone(zone, duration))
+        await asyncio.sleep(random.choice((0.5, 2.0, 5.0)))
+    site.record_event(f"zone drain {usual} to the end")
+    site.spawn(site.drain_zone(usual, float("inf")))
+
+
 def _inject_random_fault(site: PacketSite, random: Random) -> None:
     vm = random.choice(site.vms)
     server = random.choice(list(site.servers.values()))
--- a/marjoramford/standins/packet_sockets.py
+++ b/marjoramford/standins/packet_sockets.py
@@ -8,9 +8,14 @@
 
 
 class LoopbackEndpoint(asyncio.DatagramProtocol):
-    """Clock, timer and UDP socket of one caller or server."""
+    """Clock, timer and UDP socket of one caller or server.
+
+    Attributes:
+        sender: IP address from which the last datagram came, in dotted form.
+    """
 
     def __init__(self, on_datagram: Callable[[bytes], None]):
+        self.sender = ""
         self._on_datagram = on_datagram
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -43,8 +48,9 @@
         if not self._transport.is_closing():
             self._transport.sendto(datagram, (address.host, address.port))
 
-    def datagram_received(self, datagram: bytes, _address: tuple[str, int]) -> None:
+    def datagram_received(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Passes a received datagram on."""
+        self.sender = address[0]
         self._on_datagram(datagram)
 
 
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -149,7 +149,7 @@
 @pytest.mark.parametrize("name", DEPLOYMENTS)
 @pytest.mark.parametrize("seed", [1, 2])
 def test_faults_of_zones_and_others_break_no_rule(name, seed):
-    measures = run(DEPLOYMENTS[name], seed, "zones and all", 30.0, COLD, fault_interval=2.0)
+    measures = run(DEPLOYMENTS[name], seed, "all-and-zones", 30.0, COLD, fault_interval=2.0)
     assert measures.promises_kept, measures.findings
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import json
+import time
 from random import Random
 
 import pytest
 from result import Ok
 
 from marjoramford.http_calls import HttpReply
+from marjoramford.platform.packets import FLAG_SYN
 from marjoramford.standins.packet_callers import AttemptOutcome, CallerFlow
+from marjoramford.standins.packet_endpoints import FLAG_ACK, Packet
 from marjoramford.standins.packet_servers import PacketServer, ServerFlow
 from marjoramford.standins.packet_sites import BOOKING_PORT, PacketSite
 from marjoramford.standins.packet_soaks import run_soak
@@ -66,6 +69,44 @@
     assert len(site.findings.violations) == 1
 
 
+@pytest.mark.parametrize(
+    ("flags", "drained_seconds", "contact_seconds", "judged", "violations"),
+    [
+        (FLAG_SYN, 5.5, 5.5, 1, 1),
+        (FLAG_SYN, 4.5, 5.5, 0, 0),
+        (FLAG_SYN, 5.5, 4.5, 0, 0),
+        (FLAG_ACK, 5.5, 5.5, 0, 0),
+    ],
+)
+def test_soak_detects_an_opening_packet_in_a_drained_zone(
+    flags, drained_seconds, contact_seconds, judged, violations, tmp_path
+):
+    site, server, flow = make_site(tmp_path)
+    now = time.monotonic()
+    site.drains._drained_since["zone-a"] = now - drained_seconds
+    site.drains._contact_since = lambda _server: now - contact_seconds
+    packet = Packet(1, 2, 3, 4, 0, flags, 0, 0)
+    site.drains.on_packet_received(server, packet)
+    assert site.drains.checked_packets == judged
+    assert len(site.findings.violations) == violations
+
+
+def test_operator_writes_drains_again_that_a_restore_lost_or_brought_back(tmp_path):
+    site, _, _ = make_site(tmp_path)
+    empty = site.store.take_copy()
+    site.drains.begin("zone-a")
+    site.drains.write("zone-a")
+    drained = site.store.take_copy()
+    site.store.restore(empty)
+    site.drains.write_again()
+    assert site.drains.stored_zones == {"zone-a"}
+    site.drains.end("zone-a")
+    site.drains.write("zone-a")
+    site.store.restore(drained)
+    site.drains.write_again()
+    assert site.drains.stored_zones == set()
+
+
 def list_in_store(site, server):
     site.store.put(f"servers/{server.name}", {"state": "ready"})
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -27,7 +27,11 @@
         findings = asyncio.run(run_soak(number, seconds, directory))
         (directory / "events.txt").write_text("\n".join(findings.events))
         share = findings.answered / max(1, findings.requests)
-        print(f"seed {number}: {findings.requests} requests, {share:.3f} answered", flush=True)
+        print(
+            f"seed {number}: {findings.requests} requests, {share:.3f} answered,"
+            f" {findings.openings_during_drains} openings judged during zone drains",
+            flush=True,
+        )
         for violation in findings.violations:
             print(f"  VIOLATION {violation}", flush=True)
         if findings.violations:
