--- a/marjoramford/commands.py
+++ b/marjoramford/commands.py
@@ -28,6 +28,8 @@
 from .standins.demos import Demo
 from .standins.deployments import DEPLOYMENTS, Deployment
 from .standins.faults import FAULT_SETS
+from .standins.packet_faults import PACKET_FAULT_SETS
+from .standins.packet_worlds import PacketWorldSettings
 from .tables import render_demo, render_packet_demo
 
 EXIT_FAILED = 1
@@ -167,6 +169,8 @@
         load: float = 0.6,
         runs: int = 1,
         opaque: bool = False,
+        warmup_seconds: float = 0.0,
+        warmup_per_s: float = 0.0,
     ) -> None:
         """Runs balancers with simulated peers under a virtual clock and prints measures as JSON.
 
@@ -177,20 +181,26 @@
             deployment: heritage or grievance.
             seed: seed of the first run; each further run uses the next seed.
             seconds: duration of traffic in virtual seconds.
-            faults: none, planned, unplanned or all.
+            faults: none, planned, unplanned or all; with `opaque` also zones or all-and-zones.
             load: offered load as a share of the capacity of the slots.
             runs: number of runs.
             opaque: simulate opaque flows on the emulated platform instead of decoded requests.
+            warmup_seconds: with `opaque`, how long servers are cold after a start.
+            warmup_per_s: with `opaque`, the operator's limit for cold servers; 0 for none.
         """
-        if faults not in FAULT_SETS:
-            print(f"faults: expected one of {', '.join(FAULT_SETS)}, got {faults}", file=sys.stderr)
+        fault_sets = PACKET_FAULT_SETS if opaque else FAULT_SETS
+        if faults not in fault_sets:
+            print(f"faults: expected one of {', '.join(fault_sets)}, got {faults}", file=sys.stderr)
             sys.exit(EXIT_USAGE)
+        settings = PacketWorldSettings(
+            warmup_seconds=float(warmup_seconds), warmup_per_s=float(warmup_per_s)
+        )
         configure_logging("plain", "error")
         failed_seeds = []
         for run_seed in range(seed, seed + runs):
             options = (_find_deployment(deployment), run_seed, float(seconds), faults, float(load))
             if opaque:
-                measures = PacketExperiment(PacketPlan(*options)).run()
+                measures = PacketExperiment(PacketPlan(*options), settings).run()
             else:
                 measures = Experiment(ExperimentPlan(*options)).run()
             print(msgspec.json.encode(measures).decode())
--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/packet_comparisons.py
@@ -1,7 +1,7 @@
 """Compares placement policies for opaque flows with baselines on the same seeds."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -14,10 +14,11 @@
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .packet_experiments import WARMUP_SECONDS, PacketExperiment, PacketMeasures, PacketPlan
-from .routes import Route
+from .routes import Route, RouteTable
 from .server_lists import ListChanges, ServerList
 from .standins.deployments import DEPLOYMENTS
 from .standins.packet_faults import KillAllVms, PacketFault, inject_fault
+from .standins.packet_traffic import PacketRequest
 from .standins.packet_vms import BalancerFactory
 from .standins.packet_worlds import PacketWorld, PacketWorldSettings
 from .standins.schedules import START_EPOCH_SECONDS
@@ -83,8 +84,18 @@
         return super().apply(msgspec.structs.replace(changes, drains=()), now)
 
 
-class DrainIgnoringBalancer(FlowBalancer):
-    """Baseline: opens flows at servers of drained zones."""
+class UnlimitedBalancer(FlowBalancer):
+    """Baseline: opens flows at cold servers without a limit."""
+
+    def apply_routes(self, table: RouteTable) -> None:
+        """Puts a route table in force without its limits for cold servers."""
+        super().apply_routes(
+            RouteTable(table.version, table.routes(), table.idle_timeout, table.era)
+        )
+
+
+class DrainIgnoringBalancer(UnlimitedBalancer):
+    """Baseline: also opens flows at servers of drained zones."""
 
     def __init__(self, settings: PacketVmSettings, random: Random, now: float):
         super().__init__(settings, random, now)
@@ -213,6 +224,7 @@
     plan: PacketPlan,
     timed_faults: Sequence[tuple[float, PacketFault]],
     settings: PacketWorldSettings | None = None,
+    on_request_end: Callable[[PacketRequest, bool], None] = lambda _request, _in_aim: None,
 ) -> PacketMeasures:
     """Runs one experiment with faults in addition to those that its plan draws.
 
@@ -220,8 +232,9 @@
         plan: parameters of the experiment.
         timed_faults: the faults, each with its time in seconds after the start of the traffic.
         settings: settings of the simulation.
+        on_request_end: see `PacketExperiment`.
     """
-    experiment = PacketExperiment(plan, settings)
+    experiment = PacketExperiment(plan, settings, on_request_end)
     for seconds, fault in timed_faults:
         _schedule_fault(experiment.world, seconds, fault)
     return experiment.run()
--- a/marjoramford/packet_experiments.py
+++ b/marjoramford/packet_experiments.py
@@ -1,6 +1,7 @@
 """Randomised experiments with opaque flows on the simulated platform, and their results."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .standins.deployments import Deployment
@@ -98,10 +99,23 @@
 
 
 class PacketExperiment:
-    """Runs one simulated platform with traffic and faults."""
+    """Runs one simulated platform with traffic and faults.
 
-    def __init__(self, plan: PacketPlan, settings: PacketWorldSettings | None = None):
+    Args:
+        plan: parameters of the experiment.
+        settings: settings of the simulation.
+        on_request_end: called when a request ends, with whether it was answered within the target
+            latency.
+    """
+
+    def __init__(
+        self,
+        plan: PacketPlan,
+        settings: PacketWorldSettings | None = None,
+        on_request_end: Callable[[PacketRequest, bool], None] = lambda _request, _in_aim: None,
+    ):
         self._plan = plan
+        self._on_request_end = on_request_end
         self.world = PacketWorld(plan.deployment, plan.seed, settings or PacketWorldSettings())
         self._measures = PacketMeasures(plan.seed, plan.deployment.name, plan.seconds)
         self._traffic_end_at = START_EPOCH_SECONDS + WARMUP_SECONDS + plan.seconds
@@ -126,9 +140,11 @@
         tally.offered += 1
         window = int((request.created_at - START_EPOCH_SECONDS) / WINDOW_SECONDS)
         self._windows[window] += 1
+        in_aim = answered and self.world.now - request.created_at <= self._plan.target_seconds
+        self._on_request_end(request, in_aim)
         if not answered:
             tally.failed += 1
-        elif self.world.now - request.created_at <= self._plan.target_seconds:
+        elif in_aim:
             tally.in_aim += 1
             self._window_worth[window] += 1.0
         else:
--- a/marjoramford/standins/packet_checkers.py
+++ b/marjoramford/standins/packet_checkers.py
@@ -77,10 +77,15 @@
     Attributes:
         broken: number of violations of each rule, by the rule's name.
         notes: descriptions of the first `MAX_NOTES` violations.
+        cold_openings: number of flows whose first opening packet reached a cold server that has a
+            limit.
+        most_cold_openings: highest number of them at one server within a second.
     """
 
     broken: Counter[str] = field(default_factory=Counter)
     notes: list[str] = field(default_factory=list)
+    cold_openings: int = 0
+    most_cold_openings: int = 0
 
 
 class PacketChecker:
@@ -305,6 +310,8 @@
         openings.append(self._world.now)
         while openings[0] <= self._world.now - WARMUP_WINDOW_SECONDS:
             openings.popleft()
+        self.findings.cold_openings += 1
+        self.findings.most_cold_openings = max(self.findings.most_cold_openings, len(openings))
         if len(openings) > limit * WARMUP_OVERAGE + WARMUP_SLACK:
             self._record_violation(
                 "FAILBACK",
--- a/marjoramford/standins/packet_faults.py
+++ b/marjoramford/standins/packet_faults.py
@@ -118,9 +118,11 @@
 
     Attributes:
         seconds: time until they start again.
+        zone: the zone; "" for a random one.
     """
 
     seconds: float = 4.0
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,10 +132,12 @@
     Attributes:
         seconds: length of the drain.
         cold: whether its servers are restarted shortly before the drain ends.
+        zone: the zone; "" for a random one.
     """
 
     seconds: float = 8.0
     cold: bool = False
+    zone: str = ""
 
 
 PacketFault = (
@@ -204,10 +208,12 @@
             return _cut_zone(world, seconds)
         case LoseDatagrams(share=share, seconds=seconds):
             return _lose_datagrams(world, share, seconds)
-        case StopZoneServers(seconds=seconds):
-            return _stop_zone_servers(world, world.random.choice(world.deployment.zones), seconds)
-        case DrainZone(seconds=seconds, cold=cold):
-            return _drain_zone(world, world.random.choice(world.deployment.zones), seconds, cold)
+        case StopZoneServers(seconds=seconds, zone=zone):
+            zone = zone or world.random.choice(world.deployment.zones)
+            return _stop_zone_servers(world, zone, seconds)
+        case DrainZone(seconds=seconds, cold=cold, zone=zone):
+            zone = zone or world.random.choice(world.deployment.zones)
+            return _drain_zone(world, zone, seconds, cold)
         case KillAllVms(down_seconds=down_seconds):
             for vm in world.vms:
                 vm.kill(down_seconds)
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -1,12 +1,13 @@
 """Simulated entry VM for opaque flows: the product's balancer under a virtual clock."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Protocol
 
 from ..addresses import Address
 from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings
+from ..flow_settings import PacketVmSettings, PeerSettings
 from ..packets import FlowKey, Forward, ResetFlow
 from ..platform.packets import PlatformCodec
 from .packet_catalogues import PacketCatalogue
@@ -22,6 +23,12 @@
 RESTART_SECONDS = 0.5
 
 
+# How an entry VM learns of the others in its zone: once in an exchange; one that has not served for
+# the time of the product's suspicion is left out.
+MEMBER_EXCHANGE_SECONDS = PeerSettings().exchange_seconds
+MEMBER_LOSS_SECONDS = PeerSettings().suspicion_seconds
+
+
 BalancerFactory = Callable[[PacketVmSettings, Random, float], FlowBalancer]
 
 
@@ -50,6 +57,8 @@
             seconds.
         last_unplanned_fault_at: the same for faults alone.
         boots: number of starts and kills of its process; identifies one run of it.
+        served_at: when its process was last seen to run, in seconds.
+        members: names of the entry VMs of its zone that it knows, with itself.
     """
 
     def __init__(
@@ -69,6 +78,8 @@
         self.last_fault_at = host.now
         self.last_unplanned_fault_at = float("-inf")
         self.boots = 0
+        self.served_at = float("-inf")
+        self.members: frozenset[str] = frozenset((name,))
         self.balancer: FlowBalancer | None = None
         self._host = host
         self._catalogue = catalogue
@@ -185,6 +196,11 @@
         self.balancer = self._make_balancer(self._settings, self._random, self._host.now)
         self._call_periodically(STORE_READ_INTERVAL_SECONDS, self._read_store)
         self._call_periodically(TICK_INTERVAL_SECONDS, self._tick)
+        self.members = frozenset((self.name,))
+        # The time of the exchanges differs between entry VMs, but not between runs.
+        first_exchange = Random(self.name).uniform(0.0, MEMBER_EXCHANGE_SECONDS)
+        exchange = partial(self._call_periodically, MEMBER_EXCHANGE_SECONDS, self._exchange_members)
+        self._host.after(first_exchange, self._if_same_boot(exchange))
 
     def _thaw(self) -> None:
         self.record_fault()
@@ -203,7 +219,14 @@
         server_list.confirm(self._host.now)
         self.balancer.apply_routes(self._catalogue.routes)
 
+    def _exchange_members(self) -> None:
+        recently = self._host.now - MEMBER_LOSS_SECONDS
+        self.members = frozenset(
+            vm.name for vm in self._host.vms if vm.zone == self.zone and vm.served_at >= recently
+        )
+
     def _tick(self) -> None:
+        self.served_at = self._host.now
         self.balancer.entry_vm_count = sum(vm.balancer is not None for vm in self._host.vms)
         for reset in self.balancer.tick(self._host.now):
             self._reset(reset.flow, reset.acknowledged)
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -14,7 +14,11 @@
 
 from marjoramford.backend_servers import BackendServer
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.packet_comparisons import DrainIgnoringBalancer, run_with_faults
+from marjoramford.packet_comparisons import (
+    DrainIgnoringBalancer,
+    UnlimitedBalancer,
+    run_with_faults,
+)
 from marjoramford.packet_experiments import PacketExperiment, PacketPlan
 from marjoramford.packets import FlowKey
 from marjoramford.platform.packets import PlatformCodec
@@ -380,7 +384,7 @@
 
 
 def test_detects_too_many_flows_at_cold_servers():
-    settings = replace(COLD, warmup_per_s=1.0)
+    settings = replace(COLD, warmup_per_s=1.0, make_balancer=UnlimitedBalancer)
     findings = run_zones((5.0, StopZoneServers()), settings=settings, load=0.9).findings
     assert findings.broken["FAILBACK"]
 
