--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from .backend_servers import BackendServer
+from .cold_starts import ColdStartControl
 from .failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
 from .flow_labels import derive_label
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
@@ -68,6 +69,7 @@
         self._overload_controls: dict[str, OverloadControl] = {}
         self._last_tick_at = now
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
+        self.cold_starts = ColdStartControl(settings.name, settings.zone, settings.cold_starts, now)
         self.server_list = ServerList(settings.servers)
         self.route_history = RouteHistory(MAX_ROUTE_TABLES)
         self.entry_vm_count = 1
@@ -127,9 +129,11 @@
         """
         current = self._routes
         if changes.base == 0:
-            self.apply_routes(
-                RouteTable(changes.version, changes.routes, changes.idle_timeout, changes.era)
+            limits = changes.warmup_limits or ()
+            table = RouteTable(
+                changes.version, changes.routes, changes.idle_timeout, changes.era, limits
             )
+            self.apply_routes(table)
         elif current is not None and current.order == (changes.base, changes.base_era):
             self.apply_routes(current.with_changes(changes))
 
@@ -190,16 +194,22 @@
         if control is None or not control.refuses(route, now, self._random):
             return False
         # Judged again for each flow: slots may have become free since the last tick.
-        return self._are_slots_taken(service)
+        return self._are_slots_taken(service, now)
 
-    def _are_slots_taken(self, service: str) -> bool:
+    def _are_slots_taken(self, service: str, now: float) -> bool:
         servers = self.server_list.servers.of_service(service)
-        return are_slots_taken(servers, self.entry_vm_count, self._settings.overload.queued_share)
+        return are_slots_taken(
+            servers,
+            self.entry_vm_count,
+            self._settings.overload.queued_share,
+            self.warmup_limit(service),
+            now,
+        )
 
     def _update_overload_controls(self, now: float) -> None:
         for service, control in self._overload_controls.items():
             was_refusing = control.level > 0
-            control.update(self._are_slots_taken(service), now)
+            control.update(self._are_slots_taken(service, now), now)
             if was_refusing != (control.level > 0):
                 log_overload(service, control)
 
@@ -209,18 +219,26 @@
         The flow moves if its server has not answered on any flow since it was first sent this
         packet, or if it accepts no more work. The flow stays if no other server can take it, and in
         any case for the first `copy_seconds` at each server. A copy that would go to a drained zone
-        is dropped: a reset could hit a flow that has just opened there.
+        is dropped: a reset could hit a flow that has just opened there. After `copy_seconds` a copy
+        to a cold server needs a token or goes elsewhere; it is dropped if no server can take it,
+        for the same reason.
         """
         flow.active_at = now
         server = flow.server
         answered = server.responsiveness.answered_at >= flow.waiting_since
         within_copy_interval = now - flow.waiting_since < self._settings.placement.copy_seconds
-        if within_copy_interval or (answered and server.accepts_work):
+        if within_copy_interval:
             return self._repeat_opening(flow)
+        if answered and server.accepts_work and self._take_token(server, now):
+            return Forward(server, flow.label)
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
+        is_drained = server.zone_drained
+        if alternative is None and not is_drained and not self._take_token(server, now):
+            self.counters["cold_refused"] += 1
+            return self._drop("cold server")
         if alternative is None or alternative is server:
             return self._repeat_opening(flow)
         self._end_flow(flow)
@@ -240,6 +258,9 @@
 
     def _refuse_without_server(self, flow: FlowKey, service: str) -> ResetFlow:
         servers = self.server_list.servers.of_service(service)
+        if any(server.accepts_work for server in servers):
+            self.counters["cold_refused"] += 1
+            return self._refuse(flow, "cold servers")
         if any(s.zone_drained and not (s.leaving or s.gone) for s in servers):
             self.counters["refused_zone_drained"] += 1
             return self._refuse(flow, ZONE_DRAINED)
@@ -248,14 +269,37 @@
     def _place(
         self, service: str, avoided: tuple[BackendServer, ...], now: float
     ) -> BackendServer | None:
-        return choose_server(
-            self.server_list.servers.of_service(service),
+        servers = self.server_list.servers.of_service(service)
+        limit = self.warmup_limit(service)
+        if limit:
+            servers = [s for s in servers if self.cold_starts.may_open(s, limit, now)]
+        server = choose_server(
+            servers,
             avoided,
             self._settings.zone,
             now,
             self._settings.placement,
             self._random,
         )
+        if server is not None:
+            self._record_cold_opening(server, now)
+        return server
+
+    def warmup_limit(self, service: str) -> float:
+        """Returns the flows per second that may open at a cold server; 0 if there is no limit."""
+        return self._routes.warmup_limit(service) if self._routes else 0.0
+
+    def _take_token(self, server: BackendServer, now: float) -> bool:
+        """Takes a token for an opening packet if the server's limit applies and there is one."""
+        if not self.cold_starts.may_open(server, self.warmup_limit(server.service), now):
+            return False
+        self._record_cold_opening(server, now)
+        return True
+
+    def _record_cold_opening(self, server: BackendServer, now: float) -> None:
+        limit = self.warmup_limit(server.service)
+        if self.cold_starts.record_opening(server, limit, now):
+            self.counters["cold_openings"] += 1
 
     def _continue_flow(self, header: PacketHeader, now: float) -> PacketAction:
         flow = self._flows.get(header.flow)
