Emulator: limits of cold servers, and a copy of an opening packet needs a token at a new start

With them, FAILBACK found flows that open at a cold server without a token: the copy of an opening packet placed before its server stopped is forwarded to the server's address when no other server can take it. The token was asked for the start that is gone and therefore not cold; the new, cold start received the copy.

Change: routes of the emulated store carry limits, emulated entry VMs pass the members of their zone to ColdStartControl, and FlowBalancer asks for a token of the start that will receive the copy. FAILBACK counts entry VMs that have read the server's entry, whether or not they have had contact since.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -236,7 +236,9 @@
             self._suspect(server, flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
         is_drained = server.zone_drained
-        if alternative is None and not is_drained and not self._take_token(server, now):
+        # If the server has started again, its new start receives the copy.
+        receiver = self.server_list.servers.get(server.name) or server
+        if alternative is None and not is_drained and not self._take_token(receiver, now):
             self.counters["cold_refused"] += 1
             return self._drop("cold server")
         if alternative is None or alternative is server:
--- a/marjoramford/standins/packet_catalogues.py
+++ b/marjoramford/standins/packet_catalogues.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..records import VmRecord
-from ..routes import Route, RouteTable, WeightedService
+from ..routes import Route, RouteTable, WarmupLimit, WeightedService
 from ..server_lists import ListChanges
 from ..state_versions import StateVersion
 from ..zone_drains import ZoneDrain
@@ -108,7 +108,9 @@
             )
             for port, service in stored.services.items()
         )
-        return RouteTable(stored.version, routes, IDLE_SECONDS, self.era)
+        services = sorted(set(stored.services.values())) if self.warmup_per_s else ()
+        limits = tuple(WarmupLimit(service, self.warmup_per_s) for service in services)
+        return RouteTable(stored.version, routes, IDLE_SECONDS, self.era, limits)
 
     @property
     def records(self) -> dict[str, VmRecord]:
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -9,6 +9,7 @@
 from ..flow_balancers import FlowBalancer
 from ..flow_settings import PacketVmSettings, PeerSettings
 from ..packets import FlowKey, Forward, ResetFlow
+from ..peer_groups import ZoneMembers
 from ..platform.packets import PlatformCodec
 from .packet_catalogues import PacketCatalogue
 from .rotations import Rotation
@@ -41,6 +42,9 @@
     def after(self, seconds: float, callback: Callable[[], None]) -> None:
         """Schedules a callback."""
 
+    def record_store_read(self, vm: "EmulatedVm") -> None:
+        """Records that an entry VM has read the store."""
+
     def send_to_server(self, vm: "EmulatedVm", datagram: bytes, forward: Forward) -> None:
         """Sends a datagram to a backend server."""
 
@@ -58,7 +62,7 @@
         last_unplanned_fault_at: the same for faults alone.
         boots: number of starts and kills of its process; identifies one run of it.
         served_at: when its process was last seen to run, in seconds.
-        members: names of the entry VMs of its zone that it knows, with itself.
+        has_announced_leave: whether its last stop was planned.
     """
 
     def __init__(
@@ -79,7 +83,8 @@
         self.last_unplanned_fault_at = float("-inf")
         self.boots = 0
         self.served_at = float("-inf")
-        self.members: frozenset[str] = frozenset((name,))
+        self.has_announced_leave = False
+        self._members: ZoneMembers | None = None
         self.balancer: FlowBalancer | None = None
         self._host = host
         self._catalogue = catalogue
@@ -151,6 +156,7 @@
         """Ends the process; it starts again after `down_seconds`."""
         self.record_fault(planned)
         self.boots += 1
+        self.has_announced_leave = planned
         self.balancer = None
         self._contact_since = float("inf")
         self._host.after(down_seconds, self._if_same_boot(lambda: self.start(planned)))
@@ -196,7 +202,7 @@
         self.balancer = self._make_balancer(self._settings, self._random, self._host.now)
         self._call_periodically(STORE_READ_INTERVAL_SECONDS, self._read_store)
         self._call_periodically(TICK_INTERVAL_SECONDS, self._tick)
-        self.members = frozenset((self.name,))
+        self._members = None
         # The time of the exchanges differs between entry VMs, but not between runs.
         first_exchange = Random(self.name).uniform(0.0, MEMBER_EXCHANGE_SECONDS)
         exchange = partial(self._call_periodically, MEMBER_EXCHANGE_SECONDS, self._exchange_members)
@@ -218,15 +224,23 @@
         server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
         server_list.confirm(self._host.now)
         self.balancer.apply_routes(self._catalogue.routes)
+        self._host.record_store_read(self)
 
     def _exchange_members(self) -> None:
         recently = self._host.now - MEMBER_LOSS_SECONDS
-        self.members = frozenset(
-            vm.name for vm in self._host.vms if vm.zone == self.zone and vm.served_at >= recently
-        )
+        present, lost = [], []
+        for vm in self._host.vms:
+            if vm.zone == self.zone and vm.served_at >= recently:
+                present.append(vm.name)
+            elif vm.zone == self.zone and vm.served_at > 0 and not vm.has_announced_leave:
+                lost.append(vm.name)
+        self._members = ZoneMembers(present, lost)
 
     def _tick(self) -> None:
         self.served_at = self._host.now
+        if self._members is not None:
+            present, lost = self._members.present, self._members.lost
+            self.balancer.cold_starts.update_members(present, lost, self._host.now)
         self.balancer.entry_vm_count = sum(vm.balancer is not None for vm in self._host.vms)
         for reset in self.balancer.tick(self._host.now):
             self._reset(reset.flow, reset.acknowledged)
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -30,6 +30,7 @@
     CutZone,
     DrainZone,
     KillAllVms,
+    KillVm,
     RestoreStore,
     StopStore,
     StopZoneServers,
@@ -115,7 +116,7 @@
     assert measures.restores == drills
 
 
-COLD = PacketWorldSettings(warmup_seconds=6.0)
+COLD = PacketWorldSettings(warmup_seconds=6.0, warmup_per_s=1.0)
 # All entry VMs read the store 0.1 s before and after each multiple of 0.2 s, so that none has a
 # failed read in an outage of 0.15 s which begins this long after one.
 BETWEEN_READS = 0.12
@@ -150,6 +151,23 @@
     assert measures.promises_kept, measures.findings
 
 
+@pytest.mark.parametrize("entry_vms", [8, 70])
+@pytest.mark.parametrize(
+    "timed_faults",
+    [
+        pytest.param([], id="calm"),
+        pytest.param([(7.0, KillAllVms())], id="restart"),
+        pytest.param([(8.0, CutZone(4.0)), (8.5, KillVm()), (9.0, TurnAwayVm())], id="cut"),
+        pytest.param([(8.0, StopStore(4.0)), (8.5, KillVm())], id="outage"),
+        pytest.param([(8.0, DrainZone(2.0)), (8.5, RestoreStore(0.15, 4.0))], id="restore"),
+    ],
+)
+def test_cold_servers_of_a_zone_break_no_rule(timed_faults, entry_vms):
+    deployment = replace(HERITAGE, entry_vms=entry_vms)
+    measures = run_zones((4.0, StopZoneServers()), *timed_faults, deployment=deployment, load=0.9)
+    assert measures.promises_kept, measures.findings
+
+
 @pytest.mark.parametrize("name", DEPLOYMENTS)
 @pytest.mark.parametrize("seed", [1, 2])
 def test_faults_of_zones_and_others_break_no_rule(name, seed):
@@ -157,6 +175,20 @@
     assert measures.promises_kept, measures.findings
 
 
+@pytest.mark.parametrize(
+    ("deployment", "seed"),
+    [
+        # Copies of opening packets reached the new start of a server without a token, while all
+        # servers were cold (FAILBACK).
+        pytest.param(GRIEVANCE, 3, id="copies to a new start"),
+        pytest.param(HERITAGE, 2, id="restarts within a second"),
+    ],
+)
+def test_zones_that_stop_and_drain_break_no_rule(deployment, seed):
+    measures = run(deployment, seed, "zones", 40.0, COLD, fault_interval=3.0)
+    assert measures.promises_kept, measures.findings
+
+
 def test_server_is_cold_again_after_each_start():
     world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
     server = world.running_servers("booking")[0]
@@ -383,9 +415,12 @@
     assert findings.broken["EVAC"]
 
 
-def test_detects_too_many_flows_at_cold_servers():
-    settings = replace(COLD, warmup_per_s=1.0, make_balancer=UnlimitedBalancer)
-    findings = run_zones((5.0, StopZoneServers()), settings=settings, load=0.9).findings
+@pytest.mark.parametrize("entry_vms", [8, 70])
+def test_detects_too_many_flows_at_cold_servers(entry_vms):
+    settings = replace(COLD, make_balancer=UnlimitedBalancer)
+    deployment = replace(HERITAGE, entry_vms=entry_vms)
+    fault = (4.0, StopZoneServers())
+    findings = run_zones(fault, settings=settings, deployment=deployment, load=0.9).findings
     assert findings.broken["FAILBACK"]
 
 
