Soak: at the end each entry VM must have the store's drains

Cause: the final comparison of lists looked at servers alone.

Change: the drained zones of each state dump must equal the store's; the last drain of a soak is in force then.

--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -346,7 +346,7 @@
             await asyncio.sleep(WRITE_RETRY_SECONDS)
 
     async def check_server_lists(self) -> None:
-        """Checks that all entry VMs have the store's list soon after its last change."""
+        """Checks that all entry VMs have the store's list and drains soon after the last change."""
         while self._restores_in_progress:
             await asyncio.sleep(0.1)
         deadline = time.monotonic() + LIST_SECONDS
@@ -371,9 +371,12 @@
             for s in dump["backend_servers"]
             if not s["gone"]
         }
-        if stored == known:
-            return ""
-        return f"not in force {sorted(stored - known)}, in force {sorted(known - stored)}"
+        if stored != known:
+            return f"not in force {sorted(stored - known)}, in force {sorted(known - stored)}"
+        drained = {zone["zone"] for zone in dump["drained_zones"]}
+        if drained != self.drains.stored_zones:
+            return f"drained {sorted(drained)}, not {sorted(self.drains.stored_zones)}"
+        return ""
 
     # Callers
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -114,8 +114,9 @@
 class StateClient:
     """Answers with the state dump of an entry VM."""
 
-    def __init__(self, servers):
-        self._body = json.dumps({"backend_servers": servers}).encode()
+    def __init__(self, servers, drained=()):
+        zones = [{"zone": zone} for zone in drained]
+        self._body = json.dumps({"backend_servers": servers, "drained_zones": zones}).encode()
 
     async def get(self, target, timeout):
         return Ok(HttpReply(200, self._body))
@@ -142,3 +143,13 @@
     list_in_store(site, server)
     difference = asyncio.run(site._compare_server_list(StateClient(servers)))
     assert (difference == "") == equal
+
+
+@pytest.mark.parametrize(("drained", "equal"), [(["zone-a"], True), ([], False), (["b"], False)])
+def test_soak_detects_drains_that_differ_from_the_store(drained, equal, tmp_path):
+    site, server, _ = make_site(tmp_path)
+    list_in_store(site, server)
+    site.drains.begin("zone-a")
+    site.drains.write("zone-a")
+    difference = asyncio.run(site._compare_server_list(StateClient([LISTED], drained)))
+    assert (difference == "") == equal
