--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -345,7 +345,10 @@
             self._suspect(server, flow.waiting_since, now)
             self.verdicts.record_silent_opening(_key_of(server), flow.waiting_since, now)
         alternative = self._place(server.service, (*flow.tried, server), now)
-        if alternative is None and not self._take_token(server, now):
+        is_drained = server.zone_drained
+        # If the server has started again, its new start receives the copy.
+        receiver = self.server_list.servers.get(server.name) or server
+        if alternative is None and not is_drained and not self._take_token(receiver, now):
             self.counters["cold_refused"] += 1
             return self._drop("cold server")
         if alternative is None or alternative is server:
--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/packet_comparisons.py
@@ -1,20 +1,24 @@
 """Compares placement policies for opaque flows with baselines on the same seeds."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 from random import Random
 from statistics import mean
 
+import msgspec
+
 from .backend_servers import BackendServer
 from .draws import choose_near_lowest
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .packet_experiments import WARMUP_SECONDS, PacketExperiment, PacketMeasures, PacketPlan
-from .routes import Route
+from .routes import Route, RouteTable
+from .server_lists import ListChanges, ServerList
 from .standins.deployments import DEPLOYMENTS
 from .standins.packet_faults import KillAllVms, PacketFault, inject_fault
+from .standins.packet_traffic import PacketRequest
 from .standins.packet_vms import BalancerFactory
 from .standins.packet_worlds import PacketWorld, PacketWorldSettings
 from .standins.schedules import START_EPOCH_SECONDS
@@ -72,6 +76,32 @@
         return False
 
 
+class DrainIgnoringList(ServerList):
+    """A server list that takes no zone as drained."""
+
+    def apply(self, changes: ListChanges, now: float) -> bool:
+        """Applies changes without their drains."""
+        return super().apply(msgspec.structs.replace(changes, drains=()), now)
+
+
+class UnlimitedBalancer(FlowBalancer):
+    """Baseline: opens flows at cold servers without a limit."""
+
+    def apply_routes(self, table: RouteTable) -> None:
+        """Puts a route table in force without its limits for cold servers."""
+        super().apply_routes(
+            RouteTable(table.version, table.routes(), table.idle_timeout, table.era)
+        )
+
+
+class DrainIgnoringBalancer(UnlimitedBalancer):
+    """Baseline: also opens flows at servers of drained zones."""
+
+    def __init__(self, settings: PacketVmSettings, random: Random, now: float):
+        super().__init__(settings, random, now)
+        self.server_list = DrainIgnoringList(settings.servers)
+
+
 class SharedCountsBalancer(OracleBalancer):
     """Upper bound under overload: knows the requests in progress through all entry VMs.
 
@@ -191,15 +221,20 @@
 
 
 def run_with_faults(
-    plan: PacketPlan, timed_faults: Sequence[tuple[float, PacketFault]]
+    plan: PacketPlan,
+    timed_faults: Sequence[tuple[float, PacketFault]],
+    settings: PacketWorldSettings | None = None,
+    on_request_end: Callable[[PacketRequest, bool], None] = lambda _request, _in_aim: None,
 ) -> PacketMeasures:
     """Runs one experiment with faults in addition to those that its plan draws.
 
     Args:
         plan: parameters of the experiment.
         timed_faults: the faults, each with its time in seconds after the start of the traffic.
+        settings: settings of the simulation.
+        on_request_end: see `PacketExperiment`.
     """
-    experiment = PacketExperiment(plan)
+    experiment = PacketExperiment(plan, settings, on_request_end)
     for seconds, fault in timed_faults:
         _schedule_fault(experiment.world, seconds, fault)
     return experiment.run()
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -1,13 +1,15 @@
 """Simulated entry VM for opaque flows: the product's balancer under a virtual clock."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Protocol
 
 from ..addresses import Address
 from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings, SharedEvidenceSettings
+from ..flow_settings import PacketVmSettings, PeerSettings, SharedEvidenceSettings
 from ..packets import FlowKey, Forward, ResetFlow
+from ..peer_groups import ZoneMembers
 from ..platform.packets import PlatformCodec
 from .packet_catalogues import PacketCatalogue
 from .rotations import Rotation
@@ -22,6 +24,12 @@
 RESTART_SECONDS = 0.5
 
 
+# How an entry VM learns of the others in its zone: once in an exchange; one that has not served for
+# the time of the product's suspicion is left out.
+MEMBER_EXCHANGE_SECONDS = PeerSettings().exchange_seconds
+MEMBER_LOSS_SECONDS = PeerSettings().suspicion_seconds
+
+
 BalancerFactory = Callable[[PacketVmSettings, Random, float], FlowBalancer]
 
 
@@ -35,6 +43,9 @@
     def after(self, seconds: float, callback: Callable[[], None]) -> None:
         """Schedules a callback."""
 
+    def record_store_read(self, vm: "EmulatedVm") -> None:
+        """Records that an entry VM has read the store."""
+
     def send_to_server(self, vm: "EmulatedVm", datagram: bytes, forward: Forward) -> None:
         """Sends a datagram to a backend server."""
 
@@ -58,6 +69,8 @@
             seconds.
         last_unplanned_fault_at: the same for faults alone.
         boots: number of starts and kills of its process; identifies one run of it.
+        served_at: when its process was last seen to run, in seconds.
+        has_announced_leave: whether its last stop was planned.
     """
 
     def __init__(
@@ -78,6 +91,9 @@
         self.last_fault_at = host.now
         self.last_unplanned_fault_at = float("-inf")
         self.boots = 0
+        self.served_at = float("-inf")
+        self.has_announced_leave = False
+        self._members: ZoneMembers | None = None
         self.balancer: FlowBalancer | None = None
         self._host = host
         self._catalogue = catalogue
@@ -85,6 +101,7 @@
         self._make_balancer = make_balancer
         self._is_stopping = False
         self._store_access_denied = False
+        self._contact_since = float("inf")
         self._frozen_until = host.now
         self._buffered: list[bytes] = []
         self._codec = PlatformCodec(address.port)
@@ -115,6 +132,11 @@
         """The settings of its process."""
         return self._settings
 
+    @property
+    def contact_since(self) -> float:
+        """Since when it has read the store without interruption, in seconds; infinity if not."""
+        return self._contact_since
+
     @property
     def is_frozen(self) -> bool:
         """Whether its process is suspended."""
@@ -129,6 +151,7 @@
     def deny_store_access(self) -> None:
         """Makes the store refuse its requests."""
         self.record_fault()
+        self._contact_since = float("inf")
         self._store_access_denied = True
 
     def allow_store_access(self) -> None:
@@ -149,7 +172,9 @@
         """Ends the process; it starts again after `down_seconds`."""
         self.record_fault(planned)
         self.boots += 1
+        self.has_announced_leave = planned
         self.balancer = None
+        self._contact_since = float("inf")
         self._host.after(down_seconds, self._if_same_boot(lambda: self.start(planned)))
 
     def stop(self) -> None:
@@ -167,6 +192,7 @@
     def freeze(self, seconds: float) -> None:
         """Suspends the process; datagrams that arrive meanwhile are buffered."""
         self.record_fault()
+        self._contact_since = float("inf")
         self._frozen_until = self._host.now + seconds
         self._host.after(seconds, self._if_same_boot(self._thaw))
 
@@ -192,6 +218,11 @@
         self.balancer = self._make_balancer(self._settings, self._random, self._host.now)
         self._call_periodically(STORE_READ_INTERVAL_SECONDS, self._read_store)
         self._call_periodically(TICK_INTERVAL_SECONDS, self._tick)
+        self._members = None
+        # The time of the exchanges differs between entry VMs, but not between runs.
+        first_exchange = Random(self.name).uniform(0.0, MEMBER_EXCHANGE_SECONDS)
+        exchange = partial(self._call_periodically, MEMBER_EXCHANGE_SECONDS, self._exchange_members)
+        self._host.after(first_exchange, self._if_same_boot(exchange))
 
     def _thaw(self) -> None:
         self.record_fault()
@@ -201,14 +232,31 @@
 
     def _read_store(self) -> None:
         if self._store_access_denied or self._catalogue.down:
+            self._contact_since = float("inf")
             self.balancer.server_list.mark_unreachable(self._host.now)
             return
+        self._contact_since = min(self._contact_since, self._host.now)
         server_list = self.balancer.server_list
         server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
         server_list.confirm(self._host.now)
         self.balancer.apply_routes(self._catalogue.routes)
+        self._host.record_store_read(self)
+
+    def _exchange_members(self) -> None:
+        recently = self._host.now - MEMBER_LOSS_SECONDS
+        present, lost = [], []
+        for vm in self._host.vms:
+            if vm.zone == self.zone and vm.served_at >= recently:
+                present.append(vm.name)
+            elif vm.zone == self.zone and vm.served_at > 0 and not vm.has_announced_leave:
+                lost.append(vm.name)
+        self._members = ZoneMembers(present, lost)
 
     def _tick(self) -> None:
+        self.served_at = self._host.now
+        if self._members is not None:
+            present, lost = self._members.present, self._members.lost
+            self.balancer.cold_starts.update_members(present, lost, self._host.now)
         self.balancer.entry_vm_count = sum(vm.balancer is not None for vm in self._host.vms)
         for reset in self.balancer.tick(self._host.now):
             self._reset(reset.flow, reset.acknowledged)
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -8,13 +8,19 @@
 import json
 import subprocess
 import sys
+from dataclasses import replace
 
 import pytest
 
 from marjoramford.backend_servers import BackendServer
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.packet_comparisons import run_with_faults
+from marjoramford.packet_comparisons import (
+    DrainIgnoringBalancer,
+    UnlimitedBalancer,
+    run_with_faults,
+)
 from marjoramford.packet_experiments import PacketExperiment, PacketPlan
+from marjoramford.packets import FlowKey
 from marjoramford.platform.packets import PlatformCodec
 from marjoramford.routes import Route
 from marjoramford.server_lists import ServerList
@@ -22,13 +28,23 @@
 from marjoramford.standins.packet_endpoints import Packet
 from marjoramford.standins.packet_faults import (
     CutZone,
+    DrainZone,
     KillAllVms,
+    KillVm,
     RestoreStore,
+    StopStore,
+    StopZoneServers,
     TurnAwayVm,
     inject_fault,
 )
-from marjoramford.standins.packet_servers import PacketServer
+from marjoramford.standins.packet_servers import (
+    COLD_WORK_FACTOR,
+    PacketServer,
+    ServerFlow,
+    WorkItem,
+)
 from marjoramford.standins.packet_worlds import ROUTE_IP, FlowHash, PacketWorldSettings
+from marjoramford.zone_drains import ZoneDrains, ZoneState
 
 RUN_SECONDS = 20.0
 
@@ -100,6 +116,120 @@
     assert measures.restores == drills
 
 
+COLD = PacketWorldSettings(warmup_seconds=6.0, warmup_per_s=1.0)
+# All entry VMs read the store 0.1 s before and after each multiple of 0.2 s, so that none has a
+# failed read in an outage of 0.15 s which begins this long after one.
+BETWEEN_READS = 0.12
+
+
+def run_zones(*timed_faults, settings=COLD, deployment=HERITAGE, **options):
+    """Runs one experiment with faults of zones, each at a time after the start of the traffic."""
+    plan = PacketPlan(deployment, 1, 20.0, **options)
+    return run_with_faults(plan, timed_faults, settings)
+
+
+@pytest.mark.parametrize(
+    "timed_faults",
+    [
+        pytest.param([(3.0, DrainZone(8.0)), (5.0, StopStore(4.0))], id="outage"),
+        pytest.param(
+            [(3.0, DrainZone(14.0)), (10.0 + BETWEEN_READS, RestoreStore(0.15, 8.0))], id="lost"
+        ),
+        pytest.param(
+            [(3.0, DrainZone(8.0)), (12.0 + BETWEEN_READS, RestoreStore(0.15, 4.0))],
+            id="brought back",
+        ),
+        pytest.param([(3.0, DrainZone(12.0, cold=True)), (6.0, KillAllVms())], id="restart"),
+        pytest.param([(3.0, DrainZone(cold=True)), (6.0, CutZone(4.0))], id="cut"),
+        pytest.param([(3.0, DrainZone()), (5.0, DrainZone()), (6.0, DrainZone())], id="overlap"),
+        pytest.param([(3.0, DrainZone(9.0)), (5.0, StopZoneServers())], id="servers stop"),
+    ],
+)
+@pytest.mark.parametrize("deployment", [HERITAGE, GRIEVANCE], ids=lambda each: each.name)
+def test_zone_drain_breaks_no_rule(timed_faults, deployment):
+    measures = run_zones(*timed_faults, deployment=deployment)
+    assert measures.promises_kept, measures.findings
+
+
+@pytest.mark.parametrize("entry_vms", [8, 70])
+@pytest.mark.parametrize(
+    "timed_faults",
+    [
+        pytest.param([], id="calm"),
+        pytest.param([(7.0, KillAllVms())], id="restart"),
+        pytest.param([(8.0, CutZone(4.0)), (8.5, KillVm()), (9.0, TurnAwayVm())], id="cut"),
+        pytest.param([(8.0, StopStore(4.0)), (8.5, KillVm())], id="outage"),
+        pytest.param([(8.0, DrainZone(2.0)), (8.5, RestoreStore(0.15, 4.0))], id="restore"),
+    ],
+)
+def test_cold_servers_of_a_zone_break_no_rule(timed_faults, entry_vms):
+    deployment = replace(HERITAGE, entry_vms=entry_vms)
+    measures = run_zones((4.0, StopZoneServers()), *timed_faults, deployment=deployment, load=0.9)
+    assert measures.promises_kept, measures.findings
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_faults_of_zones_and_others_break_no_rule(name, seed):
+    measures = run(DEPLOYMENTS[name], seed, "all-and-zones", 30.0, COLD, fault_interval=2.0)
+    assert measures.promises_kept, measures.findings
+
+
+@pytest.mark.parametrize(
+    ("deployment", "seed"),
+    [
+        # Copies of opening packets reached the new start of a server without a token, while all
+        # servers were cold (FAILBACK).
+        pytest.param(GRIEVANCE, 3, id="copies to a new start"),
+        pytest.param(HERITAGE, 2, id="restarts within a second"),
+    ],
+)
+def test_zones_that_stop_and_drain_break_no_rule(deployment, seed):
+    measures = run(deployment, seed, "zones", 40.0, COLD, fault_interval=3.0)
+    assert measures.promises_kept, measures.findings
+
+
+def test_server_is_cold_again_after_each_start():
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
+    server = world.running_servers("booking")[0]
+    assert server.entry()["warmup_left_ms"] == 0
+    for start in (1, 2):
+        world.stop_server(server)
+        world.restart_server(server)
+        assert server.entry()["warmup_left_ms"] == 6000
+        assert server.entry()["born"] == start
+        world.run_until(world.now + 2.0)
+        assert server.entry()["warmup_left_ms"] == 4000
+    world.run_until(world.now + 4.0)
+    assert server.entry()["warmup_left_ms"] == 0
+
+
+@pytest.mark.parametrize(("at", "factor"), [(0.0, COLD_WORK_FACTOR), (6.5, 1.0)])
+def test_requests_take_longer_while_their_server_is_cold(at, factor):
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
+    server = world.running_servers("booking")[0]
+    world.restart_server(server)
+    world.run_until(world.now + at)
+    flow = ServerFlow(True, 1, 1, 1)
+    server._accept(WorkItem(FlowKey(1, 2, 3, 4), flow, "x"))
+    work_seconds = world.settings.work_seconds * factor
+    world.run_until(world.now + work_seconds - 0.01)
+    assert not flow.answer
+    world.run_until(world.now + 0.02)
+    assert flow.answer
+
+
+def test_requests_of_an_earlier_start_do_not_end_after_a_restart():
+    """A request in progress once freed a slot of the server's next start."""
+    world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS)).world
+    server = world.running_servers("booking")[0]
+    server._accept(WorkItem(FlowKey(1, 2, 3, 4), ServerFlow(True, 1, 1, 1), "x"))
+    world.stop_server(server)
+    world.restart_server(server)
+    world.run_until(world.now + 1.0)
+    assert server.load == 0
+
+
 def test_runs_with_the_same_seed_are_identical():
     assert run(seed=5, faults="all") == run(seed=5, faults="all")
 
@@ -261,6 +391,39 @@
     assert any("has (" in note for note in notes), notes
 
 
+def test_detects_new_flows_in_a_drained_zone():
+    settings = replace(COLD, make_balancer=DrainIgnoringBalancer)
+    findings = run_zones((2.0, DrainZone(10.0)), settings=settings).findings
+    assert findings.broken["EVAC"]
+    assert any("as drained: False, not True" in note for note in findings.notes), findings.notes
+
+
+def test_detects_a_drain_that_is_lost_with_the_store_restored(monkeypatch):
+    apply = ZoneDrains.apply
+
+    def forget_older_eras(self, drains, whole, version, now):
+        lost = self.drained_zones() if version.era > self.version.era else {}
+        changed = apply(self, drains, whole, version, now)
+        for zone in lost:
+            self._zones[zone] = ZoneState(False, version, now)
+        return [*changed, *lost]
+
+    monkeypatch.setattr(ZoneDrains, "apply", forget_older_eras)
+    findings = run_zones(
+        (3.0, DrainZone(14.0)), (10.0 + BETWEEN_READS, RestoreStore(0.15, 8.0))
+    ).findings
+    assert findings.broken["EVAC"]
+
+
+@pytest.mark.parametrize("entry_vms", [8, 70])
+def test_detects_too_many_flows_at_cold_servers(entry_vms):
+    settings = replace(COLD, make_balancer=UnlimitedBalancer)
+    deployment = replace(HERITAGE, entry_vms=entry_vms)
+    fault = (4.0, StopZoneServers())
+    findings = run_zones(fault, settings=settings, deployment=deployment, load=0.9).findings
+    assert findings.broken["FAILBACK"]
+
+
 @pytest.mark.parametrize(
     ("disturb", "counted"),
     [
