FAILBACK counts the openings of all entry VMs

Cause: the check of the emulator left out entry VMs that had not read the entry of a server's new start. The platform's rule counts all machines, in touch or not.

Change: all entry VMs count.

--- a/marjoramford/standins/packet_checkers.py
+++ b/marjoramford/standins/packet_checkers.py
@@ -104,7 +104,6 @@
         self._draining_since: dict[str, float] = {}
         self._zones_drained_since: dict[str, float] = {}
         self._opening_flows: defaultdict[tuple[str, int], set[FlowKey]] = defaultdict(set)
-        self._readers_of_cold_starts: dict[tuple[str, int], set[tuple[str, int]]] = {}
         self._cold_openings: defaultdict[tuple[str, int], deque[float]] = defaultdict(deque)
         self._slots_taken_at: defaultdict[str, float] = defaultdict(lambda: float("-inf"))
         self._newest_routes_used: dict[tuple[str, int, int], tuple[int, float]] = {}
@@ -139,21 +138,6 @@
         """Records that the store has acknowledged the end of a zone's drains."""
         self._zones_drained_since.pop(zone, None)
 
-    def on_server_listed(self, server: PacketServer) -> None:
-        """Records that the store has acknowledged the entry of a server's current start."""
-        if self._world.catalogue.warmup_per_s and server.warmup_left_seconds:
-            self._readers_of_cold_starts.setdefault((server.name, server.incarnation), set())
-
-    def on_store_read(self, vm: EmulatedVm) -> None:
-        """Records which entries of cold servers an entry VM has read."""
-        records = self._world.catalogue.records
-        for (name, incarnation), readers in list(self._readers_of_cold_starts.items()):
-            server, record = self._world.servers[name], records.get(name)
-            if server.incarnation != incarnation or not server.warmup_left_seconds:
-                del self._readers_of_cold_starts[name, incarnation]
-            elif record is not None and record.incarnation == incarnation:
-                readers.add((vm.name, vm.boots))
-
     def on_answer(self, request: str, answer: bytes) -> None:
         """Checks that an answer belongs to the request and names a server that ran it."""
         parts = answer.decode(errors="replace").split()
@@ -320,16 +304,12 @@
     def _check_cold_start(self, server: PacketServer, key: FlowKey) -> None:
         """Checks the rate of flows whose first opening packet reaches a cold server.
 
-        An entry VM that has read the server's entry must know that it is cold, whether or not it
-        has had contact with the store since.
+        All entry VMs count, also those that cannot know yet that the server has started again.
         """
-        limit, sender = self._world.catalogue.warmup_per_s, self._world.sender
+        limit = self._world.catalogue.warmup_per_s
         start = (server.name, server.incarnation)
         if not limit or not server.warmup_left_seconds or key in self._opening_flows[start]:
             return
-        readers = self._readers_of_cold_starts.get(start, ())
-        if sender is None or (sender.name, sender.boots) not in readers:
-            return
         self._opening_flows[start].add(key)
         openings = self._cold_openings[start]
         openings.append(self._world.now)
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -43,9 +43,6 @@
     def after(self, seconds: float, callback: Callable[[], None]) -> None:
         """Schedules a callback."""
 
-    def record_store_read(self, vm: "EmulatedVm") -> None:
-        """Records that an entry VM has read the store."""
-
     def send_to_server(self, vm: "EmulatedVm", datagram: bytes, forward: Forward) -> None:
         """Sends a datagram to a backend server."""
 
@@ -240,7 +237,6 @@
         server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
         server_list.confirm(self._host.now)
         self.balancer.apply_routes(self._catalogue.routes)
-        self._host.record_store_read(self)
 
     def _exchange_members(self) -> None:
         recently = self._host.now - MEMBER_LOSS_SECONDS
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -216,7 +216,6 @@
             state=state,
         )
         self.catalogue.put_server(record, self.now)
-        self.checker.on_server_listed(server)
 
     def terminate_server(self, server: PacketServer) -> None:
         """Terminates a server without closing its flows, and frees its address for reuse."""
@@ -238,10 +237,6 @@
 
     # Store
 
-    def record_store_read(self, vm: EmulatedVm) -> None:
-        """Records that an entry VM has read the store."""
-        self.checker.on_store_read(vm)
-
     def write_drain(self, zone: str) -> None:
         """Writes to the store, as its operator, whether a zone is drained."""
         if self.wanted_drains[zone]:
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -402,6 +402,17 @@
     assert world.balancer.counters["cold_openings"] == 1
 
 
+def test_a_late_copy_to_a_server_that_started_again_needs_a_token_of_the_new_start():
+    """The copy goes to the address of the server, where the new start receives it."""
+    world = cold_world(limit=1.0, warm_at=0.0)
+    caller = world.caller()
+    assert isinstance(caller.open(), Forward)
+    again = record("s-1", 2, born=1, warm_at=START + 60.0)
+    world.apply(whole_list(again, revision=101))
+    run(world, 0.3)
+    assert isinstance(caller.open(), DropPacket)
+
+
 def test_a_late_copy_is_forwarded_to_an_answering_cold_server_with_a_token():
     world = cold_world(limit=20.0)
     world.caller().open()
