Read on after a page of the store whose last entry is invalid

Cause: the key after which the next page begins was decoded with the whole entry, outside the checked decoding. An entry with a value of another type at the end of a page raised an exception, which ended the reading task and with it the entry VM. A page that repeats was read again forever. Change: only the key is decoded, that of the last entry that has one; a page without a new key is an error of the read. Measured: the four new cases in tests/test_platform_borders.py failed before and pass; that file and those of restores and readers pass.

--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -49,6 +49,12 @@
     has_more: bool = False
 
 
+class _ItemKey(msgspec.Struct, frozen=True):
+    """The part of an item that decides where the next page begins."""
+
+    key: str
+
+
 class _Items(msgspec.Struct, frozen=True):
     """Entries read in pages, and the store's revision at the first page."""
 
@@ -173,7 +179,10 @@
             items.extend(page.items)
             if not page.has_more or not page.items:
                 return Ok(_Items(items, revision))
-            after = msgspec.json.decode(page.items[-1], type=StoreItem).key
+            key = _find_last_key(page.items)
+            if key is None or key == after:
+                return self._fail(f"no page follows the key {after!r}")
+            after = key
             kind = AnswerKind.NEXT_PAGE
 
     async def _watch(self, wait: float) -> Result[bool | ReadEverything, StepError]:
@@ -307,6 +316,15 @@
         )
 
 
+def _find_last_key(items: tuple[msgspec.Raw, ...]) -> str | None:
+    """Returns the last key that can be read, also of an item that is otherwise invalid."""
+    for raw in reversed(items):
+        match decode_json(raw, _ItemKey):
+            case Ok(item):
+                return item.key
+    return None
+
+
 def _decode_era(headers: dict[str, str]) -> Result[int, str]:
     """Returns the store's era; 0 for a store that names none."""
     text = headers.get(ERA_HEADER, "0").strip()
--- a/tests/test_platform_borders.py
+++ b/tests/test_platform_borders.py
@@ -9,12 +9,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Ok
 
 from marjoramford.addresses import Address
 from marjoramford.entry_vms import EntryVm
 from marjoramford.errors import Step
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient
+from marjoramford.http_calls import HttpClient, HttpReply
 from marjoramford.http_services import HttpRequest, HttpResponse, serve_http
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.peer_groups import PeerGroup
@@ -116,6 +117,44 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("last", [{"key": "servers/s-2", "value": 5, "revision": 2}, {"key": 5}])
+def test_an_invalid_entry_at_the_end_of_a_page_rejects_nothing_else(last):
+    """The next page begins after it; an exception here would end the entry VM."""
+
+    class PagedStore:
+        async def get(self, target, _timeout):
+            entry = b64encode(json.dumps(SERVER).encode()).decode()
+            name = "servers/s-3" if "&after=" in target else "servers/s-1"
+            items = [{"key": name, "value": entry, "revision": 1}]
+            more = "&after=" not in target
+            page = {"items": items + [last] * more, "as_of": 5, "has_more": more}
+            return Ok(HttpReply(200, json.dumps(page).encode()))
+
+    balancer = FlowBalancer(SETTINGS, Random(1), 0.0)
+    reader = StoreReader(SETTINGS, balancer)
+    reader._client = PagedStore()
+    assert asyncio.run(reader.read(0.0)).is_ok()
+    assert {s.name for s in balancer.server_list.servers.values()} == {"s-1", "s-3"}
+
+
+@pytest.mark.parametrize("items", [[{"key": 5}], [{"key": "servers/s-1", "revision": 1}]])
+def test_pages_that_do_not_advance_are_an_error(items):
+    """Otherwise the same page is read again and again, and the entries take unbounded memory."""
+
+    class RepeatingStore:
+        calls = 0
+
+        async def get(self, _target, _timeout):
+            self.calls += 1
+            assert self.calls < 10
+            page = {"items": items, "as_of": 5, "has_more": True}
+            return Ok(HttpReply(200, json.dumps(page).encode()))
+
+    reader = StoreReader(SETTINGS, FlowBalancer(SETTINGS, Random(1), 0.0))
+    reader._client = RepeatingStore()
+    assert asyncio.run(reader.read(0.0)).is_err()
+
+
 @pytest.mark.parametrize("body", [NESTED_FIELD, b"\xff", b"{}"])
 def test_a_peer_with_an_invalid_response_is_avoided(body):
     async def scenario():
