Watch from revision 0 after the preload of an empty store

Cause: the first read after a preload took the revision of the operator's entries if that of the servers was 0. A server written between the two reads was then before the watched revision and stayed unknown until its entry was written again. Change: the revision of the preload counts also if it is 0; everything is read again then. Measured: the new test in tests/test_starts.py failed before and passes; the files of starts, restores, readers and the platform's entry point pass.

--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -143,15 +143,17 @@
     async def _read_pages(self) -> Result[bool | ReadEverything, StepError]:
         preload, self._preloaded = self._preloaded, None
         if preload is None:
-            preload = _Preload(_Items([], 0), time.monotonic())
+            asked_at = time.monotonic()
             read = await self._read_prefix("", AnswerKind.FIRST_PAGE)
         else:
+            asked_at = preload.asked_at
             read = await self._read_prefix(OPERATOR_PREFIX, AnswerKind.NEXT_PAGE)
         match read:
-            case Ok(_Items() as rest):
-                items = preload.servers.items + rest.items
-                revision = preload.servers.revision or rest.revision
-                return self._apply(items, True, revision, preload.asked_at).map(lambda _: True)
+            case Ok(_Items(items, revision)):
+                if preload is not None:
+                    # Also if it is 0, so that changes of servers between the two reads are seen.
+                    items, revision = preload.servers.items + items, preload.servers.revision
+                return self._apply(items, True, revision, asked_at).map(lambda _: True)
             case result:
                 return result
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -110,6 +110,32 @@
     asyncio.run(scenario())
 
 
+def test_a_server_written_after_the_preload_of_an_empty_store_is_read():
+    """Changes are watched from the first page on, also if that is of revision 0."""
+
+    class FilledStore(SlowStore):
+        async def get(self, target, timeout):
+            if "servers/" in target:
+                return Ok(HttpReply(200, b'{"items":[],"as_of":0}'))
+            items = [item("servers/s-1", msgspec.json.encode(ENTRY), 3)]
+            # Watched from revision 5 on, the store has nothing new to tell.
+            if "op/" in target or "kv-watch" in target:
+                items = []
+            page = msgspec.json.encode({"items": items, "events": items, "as_of": 5})
+            return Ok(HttpReply(200, page))
+
+    async def scenario():
+        balancer = FlowBalancer(SETTINGS, Random(1), START)
+        reader = StoreReader(SETTINGS, balancer)
+        reader._client = FilledStore()
+        assert (await reader.preload()).is_ok()
+        for _ in range(3):
+            assert (await reader.read(0.0)).is_ok()
+        assert [server.name for server in balancer.server_list.servers.values()] == ["s-1"]
+
+    asyncio.run(scenario())
+
+
 def test_a_store_that_does_not_answer_the_preload_counts_as_one_failed_read():
     """Otherwise a start beside a silent store waits for two timeouts before it asks a peer."""
 
