Drop copies of opening packets for a replaced server of a drained zone

Cause: `zone_drained` is kept up to date for listed servers only. A flow that was opening at a server that started again or changed its service kept the old object, and copies of its opening packet went to the same address although the zone was drained since. Change: copies are judged by the zone's drain itself. Measured: the four new cases in tests/test_drained_placement.py failed before and pass, as do the files of drains, flow balancers and overload controls.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -361,7 +361,9 @@
 
     def _repeat_opening(self, flow: PacketFlow) -> PacketAction:
         """Forwards a copy of an opening packet to the flow's server, unless its zone is drained."""
-        if flow.server.zone_drained:
+        # The server may have been replaced by another at its address; `zone_drained` of one that is
+        # no longer in the list does not change.
+        if self.server_list.drains.is_drained(flow.server.zone):
             return self._drop(ZONE_DRAINED)
         return Forward(flow.server, flow.label)
 
--- a/tests/test_drained_placement.py
+++ b/tests/test_drained_placement.py
@@ -74,6 +74,19 @@
     assert caller.request().server.name == "s-1"
 
 
+@pytest.mark.parametrize("change", [{"born": 1}, {"service": "other"}])
+@pytest.mark.parametrize("seconds", [COPY_SECONDS / 2, COPY_SECONDS * 3])
+def test_a_copy_for_a_replaced_server_does_not_reach_a_drained_zone(change, seconds):
+    """The server that replaced it has its address."""
+    world = zoned_world("a")
+    caller = world.caller()
+    assert isinstance(caller.open(), Forward)
+    world.apply(upsert(record("s-1", 101, **change)))
+    world.apply(drain("a", 102))
+    world.advance(seconds)
+    assert caller.open() == DROPPED
+
+
 @pytest.mark.parametrize("seconds", [0.2, 0.6, 1.2])
 def test_a_copy_without_another_server_is_dropped_and_not_reset(seconds):
     """The flow may have just opened: a reset would hit it."""
