Keep no shares and log lines for cold servers that take no flows

Cause: shares of servers that are warm or gone were dropped only by `update_members`, which is not called while no seed has answered, so they took memory with each start of a server. Change: they are dropped also when a share is added, and placement asks for a share only at servers that accept work. Measured: the two new tests in tests/test_cold_starts.py failed before (100 shares instead of 1, a line for each of the 5 packets) and pass, as do that file and test_drained_placement.py.

--- a/marjoramford/cold_starts.py
+++ b/marjoramford/cold_starts.py
@@ -260,6 +260,8 @@
         key = (server.name, server.incarnation)
         share = self._shares.get(key)
         if share is None:
+            # Without other members `update_members` is not called.
+            self._forget_warm_servers(now)
             share = self._shares[key] = _Share(server, updated_at=now)
         if share.members_version != self._members_version or share.limit != limit:
             self._update_share(share, limit)
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -373,7 +373,8 @@
         servers = self.server_list.servers.of_service(service)
         limit = self.warmup_limit(service)
         if limit:
-            servers = [s for s in servers if self.cold_starts.may_open(s, limit, now)]
+            may_open = self.cold_starts.may_open
+            servers = [s for s in servers if s.accepts_work and may_open(s, limit, now)]
         server = choose_server(
             servers,
             avoided,
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -492,3 +492,24 @@
 
     asyncio.run(run())
     assert vm.balancer.cold_starts.members == 1
+
+
+def test_shares_of_servers_that_are_gone_take_no_memory_without_members():
+    """No members are known as long as no seed has answered."""
+    control = ColdStartControl("front-1", "a", BOUND, START)
+    for born in range(100):
+        world = FlowWorld(record("s-1", 1, born=born, warm_at=START + born + 0.5))
+        assert not control.may_open(world.server("s-1"), 5.0, START + born)
+    assert len(control._shares) == 1
+
+
+def test_a_cold_server_that_takes_no_flow_is_not_logged_as_limited(caplog):
+    """Its share is dropped at each tick, so every opening packet would log its first refusal."""
+    caplog.set_level(logging.INFO)
+    world = cold_world()
+    world.apply(whole_list(revision=200))
+    world.balancer.server_list._retire(world.server("s-1"), "left the list", world.now)
+    for _ in range(5):
+        run(world, 0.1)
+        assert isinstance(world.caller().open(), ResetFlow)
+    assert not [line for line in caplog.records if line.event == LogEvent.COLD_START_LIMITED]
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -18,7 +18,7 @@
 from marjoramford.peer_groups import FollowPeer
 from marjoramford.published_states import PublishedState, StatePublisher, apply_state, decode_state
 from marjoramford.records import VmRecord
-from marjoramford.routes import Route
+from marjoramford.routes import Route, RouteChanges, RouteTable, WarmupLimit
 from marjoramford.server_lists import ListChanges
 from marjoramford.state_versions import StateVersion
 from marjoramford.zone_drains import ZoneDrain
@@ -330,6 +330,24 @@
     asyncio.run(scenario())
 
 
+def test_limits_that_an_older_reader_left_out_are_taken_from_the_platform():
+    """Its routes come first and have the same version; cold servers would stay without a limit."""
+    limits = (WarmupLimit("booking", 5.0),)
+    complete = route_table(2)
+    complete = RouteTable(2, complete.routes(), complete.idle_timeout, 0, limits)
+    for base in (0, 1):
+        vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
+        if base:
+            vm.balancer.apply_routes(RouteTable(1, (), 15.0, 0, (WarmupLimit("booking", 9.0),)))
+        vm.balancer.apply_route_changes(RouteChanges(2, base, 15.0, complete.routes()))
+        assert vm.balancer.routes.version == 2
+        vm.balancer.apply_routes(complete)
+        assert vm.balancer.warmup_limit("booking") == 5.0
+        # A peer's table of the same version is no reason to forget them.
+        vm.balancer.apply_route_changes(RouteChanges(2, 0, 15.0, complete.routes()))
+        assert vm.balancer.warmup_limit("booking") == 5.0
+
+
 def test_a_drain_behind_the_news_of_an_older_reader_is_asked_for():
     """An older reader leads its follower past the revision of a drain, which a newer one has."""
 
