Ask again for limits of cold servers that an older reader left out

Cause: an entry VM that starts beside an older reader takes its routes, which come without limits. The platform's or a newer reader's table of the same version was then ignored, so cold servers had no limit until the operator wrote the next version. Change: routes from a state without drains do not count as complete; a table of the same version and era completes them, and a newer reader is asked for its whole table, not twice in a row.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -74,6 +74,7 @@
         self._settings = settings
         self._random = random
         self._routes: RouteTable | None = None
+        self._are_limits_known = True
         self._flows = PacketFlowTable(settings.max_flows)
         self._unknown_labels: dict[int, float] = {}
         self._loss_detector = LossDetector(settings.silence)
@@ -96,6 +97,11 @@
         """The routes in force; None before the first table was read."""
         return self._routes
 
+    @property
+    def are_limits_known(self) -> bool:
+        """Whether the routes in force came with their limits for cold servers, if they have any."""
+        return self._are_limits_known
+
     @property
     def flows(self) -> PacketFlowTable:
         """The flows seen recently; read-only."""
@@ -117,18 +123,26 @@
         """The refusal level of each service that answered requests lately."""
         return {name: control.level for name, control in self._overload_controls.items()}
 
-    def apply_routes(self, table: RouteTable) -> None:
+    def apply_routes(self, table: RouteTable, has_limits: bool = True) -> None:
         """Puts a route table in force unless one of the same or a newer version already is.
 
         A table of the same version from a newer era replaces the one in force: the operator may
         have written other content under that version after the platform was restored. A lower
         version of a newer era does not: routes in force stay until the platform holds a version at
-        least as new.
+        least as new. While the limits of cold servers are not known, a table that has them also
+        replaces one of the same version and era.
+
+        Args:
+            table: the routes.
+            has_limits: whether the table holds the limits; entry VMs of older builds drop them.
         """
         current = self._routes
         if current is not None and table.order <= current.order:
-            return
+            adds_limits = has_limits and not self._are_limits_known
+            if not adds_limits or table.order < current.order:
+                return
         self._routes = table
+        self._are_limits_known = has_limits
         self.route_history.add(table)
         rewritten = current is not None and current.version == table.version
         if rewritten and current.has_content_of(table):
@@ -141,10 +155,14 @@
             routes=len(table),
         )
 
-    def apply_route_changes(self, changes: RouteChanges) -> None:
+    def apply_route_changes(self, changes: RouteChanges, has_limits: bool = True) -> None:
         """Applies a delta or a whole table of routes.
 
         A delta whose base is not the version in force is ignored.
+
+        Args:
+            changes: the delta or table.
+            has_limits: whether the sender knows limits of cold servers.
         """
         current = self._routes
         if changes.base == 0:
@@ -152,9 +170,11 @@
             table = RouteTable(
                 changes.version, changes.routes, changes.idle_timeout, changes.era, limits
             )
-            self.apply_routes(table)
+            self.apply_routes(table, has_limits)
         elif current is not None and current.order == (changes.base, changes.base_era):
-            self.apply_routes(current.with_changes(changes))
+            # Without limits of its own, a delta keeps those of its base.
+            is_complete = self._are_limits_known or changes.warmup_limits is not None
+            self.apply_routes(current.with_changes(changes), has_limits and is_complete)
 
     def handle_packet(self, header: PacketHeader, now: float) -> PacketAction:
         """Returns the action for a caller's packet and updates the state of its flow."""
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -203,7 +203,8 @@
     if state.era < server_list.version.era:
         return False
     if state.routes is not None:
-        balancer.apply_route_changes(state.routes)
+        # Builds that know no drains know no limits of cold servers either.
+        balancer.apply_route_changes(state.routes, has_limits=state.drains is not None)
     if state.age is None:
         return True
     records = tuple(_shift_warm_at(record, now) for record in state.records)
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -62,6 +62,7 @@
         self._publisher = publisher
         self._followed_address: Address | None = None
         self._client: HttpClient | None = None
+        self._asks_whole_routes = False
 
     async def run(self) -> None:
         """Reads in a loop until cancelled."""
@@ -103,6 +104,7 @@
             if self._client is not None:
                 self._client.close()
             self._followed_address = address
+            self._asks_whole_routes = False
             self._client = HttpClient(address, Step.FOLLOW)
             log_event(logger, LogEvent.PEER_FOLLOWED, peer=str(address))
         target = self._make_question(wait)
@@ -126,13 +128,13 @@
 
         The eras are sent even if they are 0: their absence shows a follower of an older build.
         Entries after the version up to which the drains are known are asked for again, since the
-        drains of an answer begin at the same version.
+        drains of an answer begin at the same version. The whole routes are asked for again if the
+        limits of cold servers are missing and the peer may have them.
         """
         shares_evidence = self._balancer.shares_evidence
         version = self._balancer.server_list.known_version
-        routes_version, routes_era = (
-            self._balancer.routes.order if self._balancer.routes else (0, 0)
-        )
+        routes = None if self._asks_whole_routes else self._balancer.routes
+        routes_version, routes_era = routes.order if routes else (0, 0)
         return (
             f"/v1/published?after={version.revision}&era={version.era}&routes={routes_version}"
             f"&routes_era={routes_era}&wait={wait}&compress=true"
@@ -148,6 +150,9 @@
                     reason = f"state of era {state.era} cannot follow version {known}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
                     return False
+                is_missing = state.drains is not None and not self._balancer.are_limits_known
+                # Not twice in a row: the answer comes at once, and the peer's routes may be older.
+                self._asks_whole_routes = is_missing and not self._asks_whole_routes
                 if self._balancer.server_list.are_drains_current:
                     self._group.record_peer_read(address, state.age, now)
                 else:
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -330,22 +330,59 @@
     asyncio.run(scenario())
 
 
-def test_limits_that_an_older_reader_left_out_are_taken_from_the_platform():
+LIMITED = RouteTable(2, route_table().routes(), 15.0, 0, (WarmupLimit("booking", 5.0),))
+
+
+@pytest.mark.parametrize("base", [0, 1])
+def test_limits_that_an_older_reader_left_out_are_taken_from_the_platform(base):
     """Its routes come first and have the same version; cold servers would stay without a limit."""
-    limits = (WarmupLimit("booking", 5.0),)
-    complete = route_table(2)
-    complete = RouteTable(2, complete.routes(), complete.idle_timeout, 0, limits)
-    for base in (0, 1):
+    balancer = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None).balancer
+    if base:
+        balancer.apply_routes(RouteTable(1, (), 15.0, 0, (WarmupLimit("booking", 9.0),)))
+    changes = RouteChanges(2, base, 15.0, LIMITED.routes())
+    older = PublishedState((), (), False, 0, None, changes)
+    assert apply_state(older, balancer, time.monotonic())
+    assert balancer.routes.version == 2
+    balancer.apply_routes(LIMITED)
+    assert balancer.warmup_limit("booking") == 5.0
+    # The older reader's table is no reason to forget them.
+    assert apply_state(older, balancer, time.monotonic())
+    assert balancer.warmup_limit("booking") == 5.0
+
+
+@pytest.mark.parametrize("leader_version", [2, 1])
+def test_limits_that_an_older_reader_left_out_are_asked_for_at_the_next_one(leader_version):
+    """A reader with older routes is not asked again and again without a wait."""
+
+    async def scenario():
+        routes = OldRouteChanges(2, 0, 15.0, LIMITED.routes())
+        old = StateWithoutDrains((record("s-2", zone="b"),), (), True, 100, 0.1, routes)
+        server, address, _ = await serve_states(old)
+        leader = make_vm(record("s-2", zone="b"), revision=101)
+        if leader_version == 2:
+            leader.balancer.apply_routes(LIMITED)
+        questions = []
+
+        async def answer(request):
+            questions.append(request.target)
+            return await leader._handle_request(request)
+
+        next_server, next_address = await serve(answer)
         vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
-        if base:
-            vm.balancer.apply_routes(RouteTable(1, (), 15.0, 0, (WarmupLimit("booking", 9.0),)))
-        vm.balancer.apply_route_changes(RouteChanges(2, base, 15.0, complete.routes()))
+        await vm._reader._follow(address, 0.0)
         assert vm.balancer.routes.version == 2
-        vm.balancer.apply_routes(complete)
-        assert vm.balancer.warmup_limit("booking") == 5.0
-        # A peer's table of the same version is no reason to forget them.
-        vm.balancer.apply_route_changes(RouteChanges(2, 0, 15.0, complete.routes()))
-        assert vm.balancer.warmup_limit("booking") == 5.0
+        for _ in range(4):
+            await vm._reader._follow(next_address, 0.01)
+        whole = ["&routes=0&" in question for question in questions]
+        if leader_version == 2:
+            assert vm.balancer.warmup_limit("booking") == 5.0
+            assert whole == [False, True, False, False]
+        else:
+            assert whole == [False, True, False, True]
+        server.close()
+        next_server.close()
+
+    asyncio.run(scenario())
 
 
 def test_a_drain_behind_the_news_of_an_older_reader_is_asked_for():
