Let a drain take the place of one that ends with the same change

Where an end did make room it was forgotten at once, and the log line of the change raised AttributeError, which ended the reading task and with it the entry VM. Change: of a batch only the last change of each zone counts, and ends come before starts; a zone that is no longer remembered is logged as ended with the version of the list. Measured: the two new cases in tests/test_zone_drains.py failed before and pass.

--- a/marjoramford/server_lists.py
+++ b/marjoramford/server_lists.py
@@ -203,20 +203,23 @@
     def _update_zones(self, zones: list[str], now: float) -> None:
         """Updates the servers of zones whose drain began or ended."""
         for zone in zones:
+            is_drained = self.drains.is_drained(zone)
+            # An end may be forgotten at once, to make room for the start of another drain.
             state = self.drains.find(zone)
+            version = self.version if state is None else state.version
             count = 0
             for server in self.servers.values():
                 if server.zone == zone:
-                    server.zone_drained = state.drained
+                    server.zone_drained = is_drained
                     count += not server.gone
             log_event(
                 logger,
-                LogEvent.ZONE_DRAIN_BEGAN if state.drained else LogEvent.ZONE_DRAIN_ENDED,
+                LogEvent.ZONE_DRAIN_BEGAN if is_drained else LogEvent.ZONE_DRAIN_ENDED,
                 zone=zone,
                 servers=count,
                 has_servers=count > 0,
-                era=state.version.era,
-                revision=state.version.revision,
+                era=version.era,
+                revision=version.revision,
                 list_age=self._age(now),
             )
 
--- a/marjoramford/zone_drains.py
+++ b/marjoramford/zone_drains.py
@@ -12,7 +12,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from typing import Annotated
 
 import msgspec
@@ -136,10 +136,12 @@
             # Changes between the two snapshots are not known here, but perhaps to followers.
             self._known_since = version.revision
         self._version = version
-        for drain in sorted(drains, key=lambda drain: drain.revision):
-            self._put(drain, now)
+        latest = {drain.zone: drain for drain in sorted(drains, key=lambda drain: drain.revision)}
         if whole:
-            self._end_unnamed({drain.zone for drain in drains}, now)
+            self._end_unnamed(latest.keys(), now)
+        # Ends come first, so that they make room for the starts.
+        for drain in sorted(latest.values(), key=lambda drain: (drain.drained, drain.revision)):
+            self._put(drain, now)
         return sorted(before.keys() ^ self.drained_zones().keys())
 
     def expire(self, absence_confirmed: Callable[[float], bool], now: float) -> list[str]:
@@ -198,7 +200,7 @@
         self._known_since = max(self._known_since, drain.revision)
         return False
 
-    def _end_unnamed(self, named: set[str], now: float) -> None:
+    def _end_unnamed(self, named: Collection[str], now: float) -> None:
         for zone, state in self._zones.items():
             is_current = state.drained and state.missing_since is None
             if is_current and zone not in named and state.version <= self._version:
--- a/tests/test_zone_drains.py
+++ b/tests/test_zone_drains.py
@@ -206,6 +206,19 @@
     assert [entry.fields["zone"] for entry in caplog.records if entry.event == 301] == ["y255"]
 
 
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_drain_takes_the_place_of_one_that_ends_with_the_same_change(whole):
+    """The end is forgotten at once; a full memory must neither refuse the start nor raise."""
+    others = [start(2 + n, f"z-{n}") for n in range(MAX_ZONES - 1)]
+    subject = make_list()
+    subject.apply(changes(start(1), *others, revision=500), START)
+    assert drained(subject) == ["s-2"]
+    step = [start(501, "a"), *(others if whole else [end(502)])]
+    assert subject.apply(changes(*step, revision=502, whole=whole), START)
+    assert drained(subject) == ["s-1"]
+    assert len(subject.drains.drained_zones()) == MAX_ZONES
+
+
 def test_a_drain_is_logged_with_its_servers_and_the_age_of_the_state(caplog):
     caplog.set_level(logging.INFO)
     subject = make_list()
