Do not use a preload that a peer has overtaken

Cause: the servers' entries read at the start were kept until the first read of the platform, which a follower may make hours later. They were older than the list by then, so that read failed, counted as an unreachable platform and began the time to confirm absences anew. Change: an overtaken preload is dropped and everything is read.

--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -142,6 +142,8 @@
 
     async def _read_pages(self) -> Result[bool | ReadEverything, StepError]:
         preload, self._preloaded = self._preloaded, None
+        if preload is not None and self._is_overtaken(preload):
+            preload = None
         if preload is None:
             asked_at = time.monotonic()
             read = await self._read_prefix("", AnswerKind.FIRST_PAGE)
@@ -157,6 +159,11 @@
             case result:
                 return result
 
+    def _is_overtaken(self, preload: _Preload) -> bool:
+        """Whether a peer has brought a newer list since, so that the whole would be refused."""
+        version = StateVersion(self._cursor.version.era, preload.servers.revision)
+        return version < self._balancer.server_list.version
+
     async def _read_prefix(
         self, prefix: str, kind: AnswerKind
     ) -> Result["_Items | ReadEverything", StepError]:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -136,6 +136,28 @@
     asyncio.run(scenario())
 
 
+def test_a_preload_that_a_peer_has_overtaken_is_not_used():
+    """A follower may read the platform itself hours later; that read must not count as failed."""
+
+    class GrownStore(SlowStore):
+        async def get(self, target, _timeout):
+            self.targets.append(target)
+            items = [item("servers/s-1", msgspec.json.encode(ENTRY), 3)]
+            page = {"items": items, "as_of": 5 if len(self.targets) == 1 else 60}
+            return Ok(HttpReply(200, msgspec.json.encode(page)))
+
+    async def scenario():
+        balancer = FlowBalancer(SETTINGS, Random(1), START)
+        reader = StoreReader(SETTINGS, balancer)
+        reader._client = GrownStore()
+        assert (await reader.preload()).is_ok()
+        balancer.server_list.apply(snapshot(record("s-2"), revision=50), START)
+        assert (await reader.read(0.0)).is_ok()
+        assert balancer.server_list.version.revision == 60
+
+    asyncio.run(scenario())
+
+
 def test_a_store_that_does_not_answer_the_preload_counts_as_one_failed_read():
     """Otherwise a start beside a silent store waits for two timeouts before it asks a peer."""
 
