Reject server addresses that are followed by other text

Cause: `inet_aton` accepts an address followed by white space and any text. Such a server was listed and took flows, and each packet to it was a blocking name lookup that failed. Change: an address with white space rejects the entry. Measured: the three new cases in tests/test_platform_borders.py failed before and pass, as does tests/test_platform_packets.py.

--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -116,6 +116,9 @@
         server_number(name)
         address = Address.parse(entry.address)
         socket.inet_aton(address.host)
+        if any(map(str.isspace, address.host)):
+            # `inet_aton` ignores what follows; sending would look the host up by name.
+            raise ValueError(f"expected an IPv4 address, got {address.host!r}")
         fields = {
             "name": name,
             "revision": item.revision,
--- a/tests/test_platform_borders.py
+++ b/tests/test_platform_borders.py
@@ -85,6 +85,13 @@
         msgspec.json.decode(msgspec.json.encode(found.ok_value), type=VmRecord)
 
 
+@pytest.mark.parametrize("host", ["127.0.0.1 x", "127.0.0.1\t", "1 " + "a" * 62])
+def test_an_address_followed_by_other_text_is_rejected(host):
+    """`inet_aton` accepts it, but each packet to it would block on a name lookup that fails."""
+    assert decode_server(item(SERVER | {"address": f"{host}:8080"}), 0.0).is_err()
+    assert decode_server(item(SERVER | {"address": "127.0.0.1:8080"}), 0.0).is_ok()
+
+
 def test_weights_with_an_infinite_sum_are_rejected():
     split = [{"service": "a", "weight": 1e308}, {"service": "b", "weight": 1e308}]
     config = CONFIG | {"routes": [CONFIG["routes"][1] | {"split": split}]}
