Drop late copies for flows that another entry VM has just opened

Cause: a copy of an opening packet that reached an entry VM which had adopted the open flow was taken for a new flow. With only drained or cold servers it was refused, and the reset hit the open flow. Change: within 1.4 s of the adoption such a packet is dropped instead. Measured: the new test in tests/test_drained_placement.py failed before and passes, as do the files of cold starts, flow balancers, packet flows, metrics and pages.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -48,6 +48,9 @@
 MAX_ROUTE_TABLES = 32
 # Reason for which opening packets are refused or dropped.
 ZONE_DRAINED = "zone drained"
+COLD_SERVERS = "cold servers"
+# Callers repeat an opening packet for so long at most.
+OPENING_ATTEMPT_SECONDS = 1.4
 # A condemned server is suspected for this long, again at each tick; several ticks.
 AVOID_SECONDS = 0.3
 # How long a half-closed flow stays in the table after its caller's last packet; several of the
@@ -311,7 +314,10 @@
             return self._refuse(header.flow, "overload")
         server = self._place(service, (), now)
         if server is None:
-            return self._refuse(header.flow, self._explain_no_server(service))
+            reason = self._explain_no_server(service)
+            if reason in (ZONE_DRAINED, COLD_SERVERS) and _opened_elsewhere(flow, now):
+                return self._drop(reason)
+            return self._refuse(header.flow, reason)
         label = derive_label(server.name, server.incarnation)
         flow = PacketFlow(header.flow, server, label, True, now, now, waiting_since=now)
         flow.first_sequence = header.sequence
@@ -428,7 +434,7 @@
         servers = self.server_list.servers.of_service(service)
         if any(server.accepts_work for server in servers):
             self.counters["cold_refused"] += 1
-            return "cold servers"
+            return COLD_SERVERS
         if any(s.zone_drained and not (s.leaving or s.gone) for s in servers):
             self.counters["refused_zone_drained"] += 1
             return ZONE_DRAINED
@@ -708,5 +714,15 @@
         return DropPacket(reason)
 
 
+def _opened_elsewhere(flow: PacketFlow | None, now: float) -> bool:
+    """Whether an opening packet may be a late copy for a flow that another entry VM opened.
+
+    A reset in answer to it would hit the open flow.
+    """
+    if flow is None or flow.first_sequence is not None:
+        return False
+    return now - flow.opened_at <= OPENING_ATTEMPT_SECONDS
+
+
 def _key_of(server: BackendServer) -> ServerKey:
     return server.name, server.incarnation
--- a/tests/test_drained_placement.py
+++ b/tests/test_drained_placement.py
@@ -111,6 +111,22 @@
     assert caller.request().server.name == "s-1"
 
 
+def test_a_late_copy_of_a_flow_that_opened_elsewhere_resets_nothing():
+    """The copy came to another entry VM than the original, which has the open flow by now."""
+    world = zoned_world("a")
+    caller = world.caller()
+    caller.receive_syn_ack(Forward(world.server("s-1"), 0))
+    world.apply(drain("a", 101))
+    caller.sequence -= 1
+    assert caller.open() == DROPPED
+    caller.sequence += 1
+    assert caller.request().server.name == "s-1"
+    # An attempt that begins when copies of the earlier one have ended is refused at once.
+    world.advance(2.0)
+    caller.sequence += 70_000
+    assert caller.open() == REFUSED
+
+
 def test_open_flows_of_a_drained_zone_stay_open_for_any_time():
     world = zoned_world("a", "b")
     caller = world.caller()
