--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -48,6 +48,9 @@
 MAX_ROUTE_TABLES = 32
 # Reason for which opening packets are refused or dropped.
 ZONE_DRAINED = "zone drained"
+COLD_SERVERS = "cold servers"
+# Callers repeat an opening packet for so long at most.
+OPENING_ATTEMPT_SECONDS = 1.4
 # A condemned server is suspected for this long, again at each tick; several ticks.
 AVOID_SECONDS = 0.3
 # How long a half-closed flow stays in the table after its caller's last packet; several of the
@@ -74,6 +77,7 @@
         self._settings = settings
         self._random = random
         self._routes: RouteTable | None = None
+        self._are_limits_known = True
         self._flows = PacketFlowTable(settings.max_flows)
         self._unknown_labels: dict[int, float] = {}
         self._loss_detector = LossDetector(settings.silence)
@@ -96,6 +100,11 @@
         """The routes in force; None before the first table was read."""
         return self._routes
 
+    @property
+    def are_limits_known(self) -> bool:
+        """Whether the routes in force came with their limits for cold servers, if they have any."""
+        return self._are_limits_known
+
     @property
     def flows(self) -> PacketFlowTable:
         """The flows seen recently; read-only."""
@@ -117,18 +126,26 @@
         """The refusal level of each service that answered requests lately."""
         return {name: control.level for name, control in self._overload_controls.items()}
 
-    def apply_routes(self, table: RouteTable) -> None:
+    def apply_routes(self, table: RouteTable, has_limits: bool = True) -> None:
         """Puts a route table in force unless one of the same or a newer version already is.
 
         A table of the same version from a newer era replaces the one in force: the operator may
         have written other content under that version after the platform was restored. A lower
         version of a newer era does not: routes in force stay until the platform holds a version at
-        least as new.
+        least as new. While the limits of cold servers are not known, a table that has them also
+        replaces one of the same version and era.
+
+        Args:
+            table: the routes.
+            has_limits: whether the table holds the limits; entry VMs of older builds drop them.
         """
         current = self._routes
         if current is not None and table.order <= current.order:
-            return
+            adds_limits = has_limits and not self._are_limits_known
+            if not adds_limits or table.order < current.order:
+                return
         self._routes = table
+        self._are_limits_known = has_limits
         self.route_history.add(table)
         rewritten = current is not None and current.version == table.version
         if rewritten and current.has_content_of(table):
@@ -141,10 +158,14 @@
             routes=len(table),
         )
 
-    def apply_route_changes(self, changes: RouteChanges) -> None:
+    def apply_route_changes(self, changes: RouteChanges, has_limits: bool = True) -> None:
         """Applies a delta or a whole table of routes.
 
         A delta whose base is not the version in force is ignored.
+
+        Args:
+            changes: the delta or table.
+            has_limits: whether the sender knows limits of cold servers.
         """
         current = self._routes
         if changes.base == 0:
@@ -152,9 +173,11 @@
             table = RouteTable(
                 changes.version, changes.routes, changes.idle_timeout, changes.era, limits
             )
-            self.apply_routes(table)
+            self.apply_routes(table, has_limits)
         elif current is not None and current.order == (changes.base, changes.base_era):
-            self.apply_routes(current.with_changes(changes))
+            # Without limits of its own, a delta keeps those of its base.
+            is_complete = self._are_limits_known or changes.warmup_limits is not None
+            self.apply_routes(current.with_changes(changes), has_limits and is_complete)
 
     def handle_packet(self, header: PacketHeader, now: float) -> PacketAction:
         """Returns the action for a caller's packet and updates the state of its flow."""
@@ -291,7 +314,10 @@
             return self._refuse(header.flow, "overload")
         server = self._place(service, (), now)
         if server is None:
-            return self._refuse(header.flow, self._explain_no_server(service))
+            reason = self._explain_no_server(service)
+            if reason in (ZONE_DRAINED, COLD_SERVERS) and _opened_elsewhere(flow, now):
+                return self._drop(reason)
+            return self._refuse(header.flow, reason)
         label = derive_label(server.name, server.incarnation)
         flow = PacketFlow(header.flow, server, label, True, now, now, waiting_since=now)
         flow.first_sequence = header.sequence
@@ -364,7 +390,9 @@
 
     def _repeat_opening(self, flow: PacketFlow) -> PacketAction:
         """Forwards a copy of an opening packet to the flow's server, unless its zone is drained."""
-        if flow.server.zone_drained:
+        # The server may have been replaced by another at its address; `zone_drained` of one that is
+        # no longer in the list does not change.
+        if self.server_list.drains.is_drained(flow.server.zone):
             return self._drop(ZONE_DRAINED)
         return Forward(flow.server, flow.label)
 
@@ -374,7 +402,8 @@
         servers = self.server_list.servers.of_service(service)
         limit = self.warmup_limit(service)
         if limit:
-            servers = [s for s in servers if self.cold_starts.may_open(s, limit, now)]
+            may_open = self.cold_starts.may_open
+            servers = [s for s in servers if s.accepts_work and may_open(s, limit, now)]
         server = choose_server(
             servers,
             avoided,
@@ -408,7 +437,7 @@
         servers = self.server_list.servers.of_service(service)
         if any(server.accepts_work for server in servers):
             self.counters["cold_refused"] += 1
-            return "cold servers"
+            return COLD_SERVERS
         if any(s.zone_drained and not (s.leaving or s.gone) for s in servers):
             self.counters["refused_zone_drained"] += 1
             return ZONE_DRAINED
@@ -688,5 +717,15 @@
         return DropPacket(reason)
 
 
+def _opened_elsewhere(flow: PacketFlow | None, now: float) -> bool:
+    """Whether an opening packet may be a late copy for a flow that another entry VM opened.
+
+    A reset in answer to it would hit the open flow.
+    """
+    if flow is None or flow.first_sequence is not None:
+        return False
+    return now - flow.opened_at <= OPENING_ATTEMPT_SECONDS
+
+
 def _key_of(server: BackendServer) -> ServerKey:
     return server.name, server.incarnation
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -49,6 +49,12 @@
     has_more: bool = False
 
 
+class _ItemKey(msgspec.Struct, frozen=True):
+    """The part of an item that decides where the next page begins."""
+
+    key: str
+
+
 class _Items(msgspec.Struct, frozen=True):
     """Entries read in pages, and the store's revision at the first page."""
 
@@ -136,19 +142,28 @@
 
     async def _read_pages(self) -> Result[bool | ReadEverything, StepError]:
         preload, self._preloaded = self._preloaded, None
+        if preload is not None and self._is_overtaken(preload):
+            preload = None
         if preload is None:
-            preload = _Preload(_Items([], 0), time.monotonic())
+            asked_at = time.monotonic()
             read = await self._read_prefix("", AnswerKind.FIRST_PAGE)
         else:
+            asked_at = preload.asked_at
             read = await self._read_prefix(OPERATOR_PREFIX, AnswerKind.NEXT_PAGE)
         match read:
-            case Ok(_Items() as rest):
-                items = preload.servers.items + rest.items
-                revision = preload.servers.revision or rest.revision
-                return self._apply(items, True, revision, preload.asked_at).map(lambda _: True)
+            case Ok(_Items(items, revision)):
+                if preload is not None:
+                    # Also if it is 0, so that changes of servers between the two reads are seen.
+                    items, revision = preload.servers.items + items, preload.servers.revision
+                return self._apply(items, True, revision, asked_at).map(lambda _: True)
             case result:
                 return result
 
+    def _is_overtaken(self, preload: _Preload) -> bool:
+        """Whether a peer has brought a newer list since, so that the whole would be refused."""
+        version = StateVersion(self._cursor.version.era, preload.servers.revision)
+        return version < self._balancer.server_list.version
+
     async def _read_prefix(
         self, prefix: str, kind: AnswerKind
     ) -> Result["_Items | ReadEverything", StepError]:
@@ -173,7 +188,10 @@
             items.extend(page.items)
             if not page.has_more or not page.items:
                 return Ok(_Items(items, revision))
-            after = msgspec.json.decode(page.items[-1], type=StoreItem).key
+            key = _find_last_key(page.items)
+            if key is None or key == after:
+                return self._fail(f"no page follows the key {after!r}")
+            after = key
             kind = AnswerKind.NEXT_PAGE
 
     async def _watch(self, wait: float) -> Result[bool | ReadEverything, StepError]:
@@ -307,6 +325,15 @@
         )
 
 
+def _find_last_key(items: tuple[msgspec.Raw, ...]) -> str | None:
+    """Returns the last key that can be read, also of an item that is otherwise invalid."""
+    for raw in reversed(items):
+        match decode_json(raw, _ItemKey):
+            case Ok(item):
+                return item.key
+    return None
+
+
 def _decode_era(headers: dict[str, str]) -> Result[int, str]:
     """Returns the store's era; 0 for a store that names none."""
     text = headers.get(ERA_HEADER, "0").strip()
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -18,7 +18,7 @@
 from marjoramford.peer_groups import FollowPeer
 from marjoramford.published_states import PublishedState, StatePublisher, apply_state, decode_state
 from marjoramford.records import VmRecord
-from marjoramford.routes import Route
+from marjoramford.routes import Route, RouteChanges, RouteTable, WarmupLimit
 from marjoramford.server_lists import ListChanges
 from marjoramford.state_versions import StateVersion
 from marjoramford.zone_drains import ZoneDrain
@@ -330,6 +330,61 @@
     asyncio.run(scenario())
 
 
+LIMITED = RouteTable(2, route_table().routes(), 15.0, 0, (WarmupLimit("booking", 5.0),))
+
+
+@pytest.mark.parametrize("base", [0, 1])
+def test_limits_that_an_older_reader_left_out_are_taken_from_the_platform(base):
+    """Its routes come first and have the same version; cold servers would stay without a limit."""
+    balancer = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None).balancer
+    if base:
+        balancer.apply_routes(RouteTable(1, (), 15.0, 0, (WarmupLimit("booking", 9.0),)))
+    changes = RouteChanges(2, base, 15.0, LIMITED.routes())
+    older = PublishedState((), (), False, 0, None, changes)
+    assert apply_state(older, balancer, time.monotonic())
+    assert balancer.routes.version == 2
+    balancer.apply_routes(LIMITED)
+    assert balancer.warmup_limit("booking") == 5.0
+    # The older reader's table is no reason to forget them.
+    assert apply_state(older, balancer, time.monotonic())
+    assert balancer.warmup_limit("booking") == 5.0
+
+
+@pytest.mark.parametrize("leader_version", [2, 1])
+def test_limits_that_an_older_reader_left_out_are_asked_for_at_the_next_one(leader_version):
+    """A reader with older routes is not asked again and again without a wait."""
+
+    async def scenario():
+        routes = OldRouteChanges(2, 0, 15.0, LIMITED.routes())
+        old = StateWithoutDrains((record("s-2", zone="b"),), (), True, 100, 0.1, routes)
+        server, address, _ = await serve_states(old)
+        leader = make_vm(record("s-2", zone="b"), revision=101)
+        if leader_version == 2:
+            leader.balancer.apply_routes(LIMITED)
+        questions = []
+
+        async def answer(request):
+            questions.append(request.target)
+            return await leader._handle_request(request)
+
+        next_server, next_address = await serve(answer)
+        vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
+        await vm._reader._follow(address, 0.0)
+        assert vm.balancer.routes.version == 2
+        for _ in range(4):
+            await vm._reader._follow(next_address, 0.01)
+        whole = ["&routes=0&" in question for question in questions]
+        if leader_version == 2:
+            assert vm.balancer.warmup_limit("booking") == 5.0
+            assert whole == [False, True, False, False]
+        else:
+            assert whole == [False, True, False, True]
+        server.close()
+        next_server.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_drain_behind_the_news_of_an_older_reader_is_asked_for():
     """An older reader leads its follower past the revision of a drain, which a newer one has."""
 
--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -54,12 +54,14 @@
 def handlers_installed(process):
     """Whether the program has installed its signal handlers.
 
-    SIGHUP may already be ignored in the environment of the tests, so SIGTERM is checked too.
+    SIGHUP may already be ignored in the environment of the tests, so SIGTERM is checked too. It is
+    ignored during the imports and caught afterwards; on a busy machine the first look may come late.
     """
     with open(f"/proc/{process.pid}/status") as status:
         masks = dict(line.split(":") for line in status if line.startswith("Sig"))
     caught, ignored = (int(masks[name], 16) for name in ("SigCgt", "SigIgn"))
-    return bool(caught & 1 << (signal.SIGTERM - 1) and ignored & 1 << (signal.SIGHUP - 1))
+    hangup_handled = (caught | ignored) & 1 << (signal.SIGHUP - 1)
+    return bool(caught & 1 << (signal.SIGTERM - 1) and hangup_handled)
 
 
 def loads_tls(process):
