Use the decisions on dead servers of the own zone's readers only

While the platform does not answer, an entry VM follows any other one and put its decisions in force. Those of a zone that is cut off from a server reset open flows of that server, which answers here; those of a peer without decisions cancelled the entry VM's own.

Decisions are asked for and applied only if the peer is a reader of the zone. The new test fails without the change. test_evidence_exchanges, test_mixed_builds, test_restore_borders, test_state_readers and test_platform_borders: 116 passed.

--- a/marjoramford/peer_groups.py
+++ b/marjoramford/peer_groups.py
@@ -212,6 +212,12 @@
             others = [] if followed is None else [followed]
         return own in readers, others
 
+    def is_zone_reader(self, address: Address) -> bool:
+        """Whether this is the control address of another entry VM that is a reader of this zone."""
+        own = self.entry_vms.own.name
+        others = [name for name in self._elect_readers() or () if name != own]
+        return any(self.entry_vms.get(name).control_address == address for name in others)
+
     def list_members(self) -> list[str]:
         """Returns the names of the entry VMs in this zone that accept flows, with this one."""
         own = self.entry_vms.own
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -105,13 +105,15 @@
             self._followed_address = address
             self._client = HttpClient(address, Step.FOLLOW)
             log_event(logger, LogEvent.PEER_FOLLOWED, peer=str(address))
-        target = self._make_question(wait)
+        # A fallback peer may be of another zone, which may reach other servers than this one.
+        shares_evidence = self._balancer.shares_evidence and self._group.is_zone_reader(address)
+        target = self._make_question(wait, shares_evidence)
         reply = await self._client.get(target, wait + self._settings.peers.timeout)
         now = time.monotonic()
         match reply:
             case Ok(HttpReply(status=200, body=body)):
                 # A fallback peer is asked without waiting for a change, so the pause is here.
-                if self._apply_response(address, body, now) and not wait:
+                if self._apply_response(address, body, now, shares_evidence) and not wait:
                     await asyncio.sleep(self._settings.peers.helper_pause)
             case Ok(HttpReply(status=status)):
                 self._record_peer_failure(
@@ -121,14 +123,13 @@
             case Err(error):
                 self._record_peer_failure(address, error)
 
-    def _make_question(self, wait: float) -> str:
+    def _make_question(self, wait: float, shares_evidence: bool = False) -> str:
         """Returns the request target that asks a peer for changes.
 
         The eras are sent even if they are 0: their absence shows a follower of an older build.
         Entries after the version up to which the drains are known are asked for again, since the
         drains of an answer begin at the same version.
         """
-        shares_evidence = self._balancer.shares_evidence
         version = self._balancer.server_list.known_version
         routes_version, routes_era = (
             self._balancer.routes.order if self._balancer.routes else (0, 0)
@@ -139,7 +140,9 @@
             + (f"&evidence={self._balancer.verdicts.version}" if shares_evidence else "")
         )
 
-    def _apply_response(self, address: Address, body: bytes, now: float) -> bool:
+    def _apply_response(
+        self, address: Address, body: bytes, now: float, shares_evidence: bool = False
+    ) -> bool:
         """Applies the state in another entry VM's response; returns whether it could be used."""
         match decode_state(body):
             case Ok(state):
@@ -153,7 +156,7 @@
                 else:
                     reason = f"drains of zones not known as of {state.era}.{state.revision}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
-                if self._balancer.shares_evidence:
+                if shares_evidence:
                     self._balancer.apply_evidence(state.evidence, now)
                 self._publisher.notify()
                 return True
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -14,7 +14,13 @@
 from marjoramford.http_services import HttpRequest, HttpResponse
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.packets import FlowKey
-from marjoramford.shared_evidence import EvidenceMessage, ServerReport
+from marjoramford.published_states import PublishedState, encode_state
+from marjoramford.shared_evidence import (
+    EvidenceMessage,
+    PublishedEvidence,
+    PublishedSilence,
+    ServerReport,
+)
 
 from .evidence_zones import ENABLED
 from .flow_worlds import (
@@ -228,6 +234,42 @@
     assert 204 in [getattr(entry, "event", 0) for entry in caplog.records]
 
 
+def test_an_entry_vm_of_another_zone_decides_nothing_here():
+    """Guards against resets of flows to servers that another zone cannot reach, but this one can.
+
+    While the platform does not answer, an entry VM follows any other one.
+    """
+
+    async def scenario():
+        vm = RunningVm("front-0", Address("127.0.0.1", 1), ENABLED)
+        questions = []
+
+        async def answer(request):
+            questions.append(request.target)
+            silence = PublishedSilence("s-1", 0, 0.6)
+            evidence = PublishedEvidence(7, False, (), (silence,))
+            state = PublishedState((), (), False, 1, 0.0, drains=(), evidence=evidence)
+            return HttpResponse(200, encode_state(state, False))
+
+        server, address = await serve(answer)
+        update = vm.vm._group.entry_vms.own.to_update()
+        for zone, condemned in (("elsewhere", False), (update.zone, True)):
+            vm.vm._group.merge_updates(
+                [
+                    msgspec.structs.replace(
+                        update, name=f"{zone}-{n}", zone=zone, control_address=address
+                    )
+                    for n in range(6)
+                ]
+            )
+            vm.balancer.tick(vm.now)
+            await vm.vm._reader._follow(address, 0.0)
+            assert ("evidence=" in questions[-1], vm.sees_condemned) == (condemned, condemned)
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_without_the_setting_there_is_no_endpoint_no_call_and_no_field():
     async def scenario():
         async with running_zone(settings=SETTINGS) as vms:
