--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/shared_evidence.py
@@ -26,7 +26,9 @@
 
 logger = logging.getLogger(__name__)
 
-Age = Annotated[float, Meta(ge=0, le=86_400)]
+# Older ages are sent as this one; a message with a longer one would be malformed.
+MAX_AGE_SECONDS = 86_400.0
+Age = Annotated[float, Meta(ge=0, le=MAX_AGE_SECONDS)]
 Count = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 Version = Annotated[int, Meta(ge=0)]
 # More servers than a service of the platform has; bounds what a sender can make a reader keep.
@@ -125,9 +127,9 @@
         return ServerReport(
             *key,
             self.flows,
-            now - self.silent_since,
-            now - self.repeated_at,
-            now - self.latest_at,
+            _make_age(self.silent_since, now),
+            _make_age(self.repeated_at, now),
+            _make_age(self.latest_at, now),
             _make_age(self.answered_at, now),
             self.link_suspected,
             self.lossy,
@@ -175,7 +177,7 @@
             reports.append(ServerReport(*key, answered_seconds=answered_seconds))
         for key, answered_at in objections.items():
             if self._objected.get(key) != answered_at and key not in silences:
-                reports.append(ServerReport(*key, answered_seconds=now - answered_at))
+                reports.append(ServerReport(*key, answered_seconds=_make_age(answered_at, now)))
         self._objected = dict(objections)
         return tuple(reports[:MAX_REPORTS])
 
@@ -369,12 +371,12 @@
         questioned, condemned = [], []
         for key, case in self._cases.items():
             if case.condemnation is not None:
-                since = _round(max(0.0, now - case.condemnation.silent_since))
+                since = _round(_make_age(case.condemnation.silent_since, now))
                 condemned.append(PublishedSilence(*key, since, case.condemnation.prober))
             elif case.questioned_at is not None:
                 silence = self._add_up(case)
                 since = case.questioned_at if silence is None else silence.since
-                questioned.append(PublishedSilence(*key, _round(max(0.0, now - since))))
+                questioned.append(PublishedSilence(*key, _round(_make_age(since, now))))
         return PublishedEvidence(self._version, False, tuple(questioned), tuple(condemned))
 
     def _record_report(self, sender: str, report: ServerReport, now: float) -> None:
@@ -637,7 +639,10 @@
 
 
 def _make_age(moment: float, now: float) -> float | None:
-    return now - moment if moment > float("-inf") else None
+    """Returns an age that a message may carry, in seconds; None if the moment is unknown."""
+    if moment == float("-inf"):
+        return None
+    return min(MAX_AGE_SECONDS, max(0.0, now - moment))
 
 
 def _round(age: float | None) -> float | None:
--- a/tests/test_shared_evidence.py
+++ b/tests/test_shared_evidence.py
@@ -8,6 +8,7 @@
     EvidenceCollector,
     EvidenceMessage,
     LocalSilence,
+    PublishedEvidence,
     ReportLog,
     ServerReport,
 )
@@ -327,3 +328,23 @@
     assert decode_json(msgspec.json.encode(message), EvidenceMessage).is_ok()
     message["reports"] = [good, good | change]
     assert decode_json(msgspec.json.encode(message), EvidenceMessage).is_err()
+
+
+def test_ages_beyond_the_limit_do_not_make_messages_malformed():
+    """Guards against evidence that is refused because a server last answered two days ago.
+
+    Followers refused the whole state if the silence of a server in question was too old.
+    """
+    old = LocalSilence(3, -200_000.0, -0.2, -0.1, -180_000.0)
+    message = EvidenceMessage("front-1", 1, 1, (old.to_report(("s-1", 0), 0.0),))
+    assert decode_json(msgspec.json.encode(message), EvidenceMessage).is_ok()
+    answers = {("s-1", 0): -180_000.0}
+    log = ReportLog(SETTINGS)
+    log.select({("s-1", 0): old}, {}, answers.get, 0.0)
+    message = EvidenceMessage("front-1", 1, 2, log.select({}, {}, answers.get, 0.1))
+    assert decode_json(msgspec.json.encode(message), EvidenceMessage).is_ok()
+    reader = Reader()
+    reader.report(silent=86_400.0)
+    reader.advance(0.5)
+    assert reader.evidence.questioned
+    assert decode_json(msgspec.json.encode(reader.evidence), PublishedEvidence).is_ok()
