Discard decisions on dead servers that were asked for before a stall

After a stall of an entry VM, its earlier decisions are void, but a reply that had waited in the socket was put in force afterwards as if it were new, for 2 s and with a silence that seemed to begin later. Flows of a server that had answered meanwhile were reset. Such a reply now counts as no decision; the next question gets the present ones at once.

The new test fails without the change. test_condemned_servers, test_evidence_exchanges, test_shared_evidence, test_state_readers, test_mixed_builds, test_restore_borders and test_packet_evidence: 122 passed.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -81,6 +81,7 @@
         self._overload_controls: dict[str, OverloadControl] = {}
         self._quick_call_at = float("-inf")
         self._last_tick_at = now
+        self._resumed_at = float("-inf")
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         self.cold_starts = ColdStartControl(settings.name, settings.zone, settings.cold_starts, now)
         self.server_list = ServerList(settings.servers)
@@ -186,6 +187,7 @@
         """
         was_stalled = self._is_stalled(now)
         if was_stalled:
+            self._resumed_at = now
             self._discard_evidence(now)
         self._last_tick_at = now
         self.server_list.expire(now)
@@ -199,8 +201,19 @@
             self._evict_expired_flows(now)
         return resets
 
-    def apply_evidence(self, evidence: PublishedEvidence | None, now: float) -> None:
-        """Puts the decisions of a reader on dead servers in force, in place of earlier ones."""
+    def apply_evidence(
+        self, evidence: PublishedEvidence | None, now: float, asked_at: float | None = None
+    ) -> None:
+        """Puts the decisions of a reader on dead servers in force, in place of earlier ones.
+
+        Args:
+            evidence: the decisions; None if there are none.
+            now: time on the monotonic clock, in seconds.
+            asked_at: when another entry VM was asked for them. If this process has stalled since
+                then, the reply may have waited in the socket, and the decisions are discarded.
+        """
+        if asked_at is not None and (asked_at < self._resumed_at or self._is_stalled(now)):
+            evidence = None
         self.verdicts.apply(evidence, now)
         self._avoid_condemned_servers(now)
 
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -108,12 +108,13 @@
         # A fallback peer may be of another zone, which may reach other servers than this one.
         shares_evidence = self._balancer.shares_evidence and self._group.is_zone_reader(address)
         target = self._make_question(wait, shares_evidence)
+        evidence_asked_at = time.monotonic() if shares_evidence else None
         reply = await self._client.get(target, wait + self._settings.peers.timeout)
         now = time.monotonic()
         match reply:
             case Ok(HttpReply(status=200, body=body)):
                 # A fallback peer is asked without waiting for a change, so the pause is here.
-                if self._apply_response(address, body, now, shares_evidence) and not wait:
+                if self._apply_response(address, body, now, evidence_asked_at) and not wait:
                     await asyncio.sleep(self._settings.peers.helper_pause)
             case Ok(HttpReply(status=status)):
                 self._record_peer_failure(
@@ -141,9 +142,12 @@
         )
 
     def _apply_response(
-        self, address: Address, body: bytes, now: float, shares_evidence: bool = False
+        self, address: Address, body: bytes, now: float, evidence_asked_at: float | None = None
     ) -> bool:
-        """Applies the state in another entry VM's response; returns whether it could be used."""
+        """Applies the state in another entry VM's response; returns whether it could be used.
+
+        The decisions on dead servers are applied if they were asked for.
+        """
         match decode_state(body):
             case Ok(state):
                 if not apply_state(state, self._balancer, now):
@@ -156,8 +160,8 @@
                 else:
                     reason = f"drains of zones not known as of {state.era}.{state.revision}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
-                if shares_evidence:
-                    self._balancer.apply_evidence(state.evidence, now)
+                if evidence_asked_at is not None:
+                    self._balancer.apply_evidence(state.evidence, now, evidence_asked_at)
                 self._publisher.notify()
                 return True
             case Err(reason):
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -78,6 +78,23 @@
     assert world.advance(0.3) == []
 
 
+@pytest.mark.parametrize("ticks_first", [True, False])
+def test_decisions_that_were_asked_for_before_a_stall_reset_nothing(ticks_first):
+    """A reply that waited in the socket during a stall may hold a decision that has since ended."""
+    world, caller = make_world()
+    asked_at = world.now
+    world.now += 1.0
+    if ticks_first:
+        world.balancer.tick(world.now)
+    silence = PublishedSilence("s-1", 0, 0.5)
+    decisions = PublishedEvidence(7, False, (), (silence,))
+    world.balancer.apply_evidence(decisions, world.now, asked_at)
+    assert isinstance(caller.request(), Forward)
+    assert world.advance(0.3) == []
+    world.balancer.apply_evidence(decisions, world.now, world.now)
+    assert world.balancer.count_condemned(world.now) == 1
+
+
 def test_new_flows_avoid_a_condemned_server_unless_there_is_no_other():
     world = FlowWorld(record("s-1"), record("s-2", 2), settings=ENABLED)
     condemn(world)
