Number decisions on dead servers from the start in nanoseconds

Two readers that started within a second, as after a power failure, could reach the same version in milliseconds. A follower that changed from one to the other was then told that nothing had changed and kept the decisions of the first, and a version of the first counted as proof that it had the question of the second.

The new test fails without the change. test_evidence_exchanges and test_condemned_servers: 29 passed.

--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -341,11 +341,12 @@
 def _make_collector(settings: PacketVmSettings) -> EvidenceCollector | None:
     """Returns the collector of evidence; None if none is shared.
 
-    Its versions begin with the time of the start, so that they differ from those of other readers.
+    Its versions begin with the time of the start in nanoseconds, so that they differ from those of
+    other readers, also of those that start at nearly the same time.
     """
     if not settings.shared_evidence.enabled:
         return None
     stall_seconds = settings.silence.stall_seconds
-    first_version = int(time.time() * 1000)
+    first_version = time.time_ns()
     now = time.monotonic()
     return EvidenceCollector(settings.shared_evidence, stall_seconds, first_version, now)
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -1,6 +1,7 @@
 """Evidence of dead servers between entry VMs of a zone, over loopback sockets."""
 
 import asyncio
+import itertools
 import time
 from contextlib import asynccontextmanager
 
@@ -12,7 +13,7 @@
 from marjoramford.errors import Step
 from marjoramford.http_calls import HttpClient
 from marjoramford.http_services import HttpRequest, HttpResponse
-from marjoramford.packet_daemons import PacketVm
+from marjoramford.packet_daemons import PacketVm, _make_collector
 from marjoramford.packets import FlowKey
 from marjoramford.published_states import PublishedState, encode_state
 from marjoramford.shared_evidence import (
@@ -284,6 +285,16 @@
     asyncio.run(scenario())
 
 
+def test_decisions_of_readers_that_start_together_have_different_versions():
+    """Guards against a follower that takes the decisions of one reader for those of another.
+
+    After a power failure many entry VMs start within a second, so versions in milliseconds meet.
+    """
+    versions = sorted(_make_collector(ENABLED)._version for _ in range(20))
+    assert versions[-1] < 2**63
+    assert min(b - a for a, b in itertools.pairwise(versions)) > 0
+
+
 def test_nothing_is_sent_while_nothing_is_silent():
     async def scenario():
         async with running_zone() as vms:
