Introduce an entry VM to a reader that refuses its evidence

Readers answered 400 to reports of an entry VM that gossip had not told of yet, and it then kept its evidence back for 2 s, again and again until gossip had. It now sends the reader the update about itself that gossip would bring and reports everything again after 0.25 s. No check of a report is weaker than before.

The new test fails without the change. test_evidence_exchanges: all passed.

--- a/marjoramford/evidence_exchanges.py
+++ b/marjoramford/evidence_exchanges.py
@@ -35,9 +35,16 @@
         next_call_at: no call is made before this time, on the monotonic clock.
     """
 
-    def __init__(self, address: Address, settings: PacketVmSettings, balancer: FlowBalancer):
+    def __init__(
+        self,
+        address: Address,
+        settings: PacketVmSettings,
+        balancer: FlowBalancer,
+        group: PeerGroup,
+    ):
         self._settings = settings
         self._balancer = balancer
+        self._group = group
         self._client = HttpClient(address, Step.SHARE_EVIDENCE)
         self._address = address
         self._last_call_at = float("-inf")
@@ -66,6 +73,8 @@
             case Ok(reply):
                 # It is of an older build, or does not know this entry VM yet.
                 pause_seconds = peers.avoid_seconds
+                if reply.status == 400 and await self._introduce():
+                    pause_seconds = peers.retry_seconds
                 error = StepError(
                     Step.SHARE_EVIDENCE,
                     str(self._address),
@@ -77,6 +86,14 @@
         self.next_call_at = time.monotonic() + pause_seconds
         log_event(logger, LogEvent.PEER_LOST, error=error)
 
+    async def _introduce(self) -> bool:
+        """Tells the reader of this entry VM, as gossip will; returns whether it answered."""
+        body = msgspec.json.encode((self._group.entry_vms.own.to_update(),))
+        result = await self._client.post(
+            "/v1/members", body, self._settings.shared_evidence.timeout
+        )
+        return result.is_ok() and result.ok_value.status == 200
+
     def close(self) -> None:
         """Ends the call in progress and closes the connection."""
         if self.task is not None:
@@ -181,7 +198,9 @@
             self._links.pop(address).close()
         for address in readers:
             if address not in self._links:
-                self._links[address] = _ReaderLink(address, self._settings, self._balancer)
+                self._links[address] = _ReaderLink(
+                    address, self._settings, self._balancer, self._group
+                )
 
     def _make_message(self, reports: tuple[ServerReport, ...]) -> EvidenceMessage:
         own = self._group.entry_vms.own
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -235,6 +235,20 @@
     assert 204 in [getattr(entry, "event", 0) for entry in caplog.records]
 
 
+def test_a_reader_that_does_not_know_an_entry_vm_yet_is_told_of_it():
+    """Guards against the loss of the evidence of entry VMs that have just started."""
+
+    async def scenario():
+        async with running_zone() as vms:
+            started = vms[2]
+            for vm in vms[:2]:
+                del vm.vm._group.entry_vms._others[started.vm._settings.name]
+            await fall_silent(vms[2:4])
+            await wait_for(lambda: all(vm.sees_condemned for vm in vms), 3.0)
+
+    asyncio.run(scenario())
+
+
 def test_an_entry_vm_of_another_zone_decides_nothing_here():
     """Guards against resets of flows to servers that another zone cannot reach, but this one can.
 
