Keep idle flows that may have moved to another entry VM

An idle flow of a dead or gone server was reset also where the entry VMs had changed since its last packet. Its packets may take another way since then: the caller may have used the port again for a flow to a living server, or get answers there of a server that left the list. Callers accept any reset of the flow. With shared_evidence.enabled false no such flow was reset.

Such flows are now reset at their next packet only.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -82,6 +82,8 @@
         self._quick_call_at = float("-inf")
         self._last_tick_at = now
         self._resumed_at = float("-inf")
+        self._other_entry_vms: frozenset[tuple[str, int]] = frozenset()
+        self._paths_changed_at = float("-inf")
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         self.cold_starts = ColdStartControl(settings.name, settings.zone, settings.cold_starts, now)
         self.server_list = ServerList(settings.servers)
@@ -201,6 +203,16 @@
             self._evict_expired_flows(now)
         return resets
 
+    def update_entry_vms(self, others: frozenset[tuple[str, int]], now: float) -> None:
+        """Records which other entry VMs may get packets, by name and incarnation.
+
+        When they change, packets of some flows take another way. What becomes of flows that were
+        idle then is not known here, so they are not reset while they are idle.
+        """
+        if others != self._other_entry_vms:
+            self._other_entry_vms = others
+            self._paths_changed_at = now
+
     def apply_evidence(
         self, evidence: PublishedEvidence | None, now: float, asked_at: float | None = None
     ) -> None:
@@ -633,8 +645,9 @@
         resets = []
         for flow in list(self._flows):
             busy = flow.opening or flow.closing or flow.waiting_since is not None
+            may_have_moved = flow.active_at <= self._paths_changed_at
             reason = dead_servers.get(_key_of(flow.server))
-            if not busy and reason is not None:
+            if not busy and not may_have_moved and reason is not None:
                 self._end_flow(flow)
                 self._log_dead_server(flow, now, reason)
                 self.counters["reset_idle"] += 1
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -265,6 +265,10 @@
             self.balancer.entry_vm_count = len(self._group.entry_vms.active()) + 1
             now = time.monotonic()
             self.update_members(now)
+            if self.balancer.shares_evidence:
+                others = self._group.entry_vms.reachable()
+                vms = frozenset((vm.name, vm.incarnation) for vm in others)
+                self.balancer.update_entry_vms(vms, now)
             packets.run_tick(now)
 
     def update_members(self, now: float) -> None:
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -210,6 +210,10 @@
 
     def _tick(self) -> None:
         self.balancer.entry_vm_count = sum(vm.balancer is not None for vm in self._host.vms)
+        if self.balancer.shares_evidence:
+            running = (vm for vm in self._host.vms if vm is not self and vm.balancer is not None)
+            others = frozenset((vm.name, vm.boots) for vm in running)
+            self.balancer.update_entry_vms(others, self._host.now)
         for reset in self.balancer.tick(self._host.now):
             self._reset(reset.flow, reset.acknowledged)
         if self._host.evidence is not None:
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -12,7 +12,9 @@
 from marjoramford.flow_metrics import render_flow_metrics
 from marjoramford.packets import Forward, ResetFlow
 from marjoramford.peer_groups import PeerGroup
+from marjoramford.server_lists import ListChanges
 from marjoramford.shared_evidence import PublishedEvidence, PublishedSilence
+from marjoramford.state_versions import StateVersion
 
 from .evidence_zones import ENABLED
 from .flow_worlds import SETTINGS, START, FlowWorld, record
@@ -186,3 +188,25 @@
     silences = world.balancer.find_silences(world.now)
     assert len(silences) == 2
     assert not any(silence.link_suspected for silence in silences.values())
+
+
+@pytest.mark.parametrize("reason", ["condemned", "gone"])
+def test_idle_flows_that_may_have_moved_to_another_entry_vm_are_not_reset(reason):
+    """Guards against resets of flows of living servers through entry VMs that they left.
+
+    Packets of some flows take another way when an entry VM joins or leaves. The caller may then
+    have used its port again for a flow to another server, or get answers of a server that left the
+    list. Neither shows here, and callers accept any reset of the flow.
+    """
+    world, caller = make_world()
+    world.balancer.update_entry_vms(frozenset({("front-9", 1)}), world.now)
+    world.advance(5.0)
+    if reason == "condemned":
+        condemn(world)
+    else:
+        world.apply(ListChanges((), (("s-1", 101),), False, StateVersion(0, 101)))
+    resets = []
+    for _ in range(50):
+        world.confirm()
+        resets += world.advance(0.1)
+    assert caller.key not in [reset.flow for reset in resets]
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -1,6 +1,7 @@
 """Evidence of dead servers between entry VMs of a zone, over loopback sockets."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 from contextlib import asynccontextmanager
@@ -249,6 +250,30 @@
     asyncio.run(scenario())
 
 
+def test_idle_flows_are_kept_after_another_entry_vm_has_joined():
+    """Guards against a timer that does not tell the balancer that flows may have moved."""
+
+    async def scenario():
+        vm = RunningVm("front-0", Address("127.0.0.1", 1), ENABLED)
+        caller = vm.open_flow(2000)
+        update = vm.vm._group.entry_vms.own.to_update()
+        vm.vm._group.merge_updates([msgspec.structs.replace(update, name="front-1")])
+        resets = []
+
+        class Packets:
+            def run_tick(self, now):
+                silence = PublishedSilence("s-1", 0, 0.0)
+                vm.balancer.apply_evidence(PublishedEvidence(7, False, (), (silence,)), now)
+                resets.extend(vm.balancer.tick(now))
+
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(vm.vm._run_timer(Packets()), 0.35)
+        assert vm.sees_condemned
+        assert caller.key not in [reset.flow for reset in resets]
+
+    asyncio.run(scenario())
+
+
 def test_an_entry_vm_of_another_zone_decides_nothing_here():
     """Guards against resets of flows to servers that another zone cannot reach, but this one can.
 
