Drop the decisions of an entry VM that is no longer a reader

Answers are reported only to the readers of a zone. An entry VM that stopped being one and became one again within seconds, after a short error in the membership, published a decision that an answer had ended, and other entry VMs reset idle flows of the living server.

--- a/marjoramford/evidence_exchanges.py
+++ b/marjoramford/evidence_exchanges.py
@@ -129,6 +129,7 @@
         self._own_log = ReportLog(settings.shared_evidence)
         self._sequence = count(1)
         self._evaluated_at = float("-inf")
+        self._is_reader = False
 
     async def run(self) -> None:
         """Reports and decides in a loop until cancelled."""
@@ -184,12 +185,16 @@
     def _evaluate(self, now: float) -> None:
         """Decides anew; the decisions are in force here too if this entry VM is a reader."""
         self._evaluated_at = now
+        was_reader, self._is_reader = self._is_reader, self._group.find_report_targets(now)[0]
+        # Answers are no longer reported here, so a decision could outlive them.
+        if was_reader and not self._is_reader and self._collector.discard():
+            self._publisher.notify()
         members = self._group.list_members()
         if self._collector.evaluate(self._balancer.is_running, members, now):
             self._publisher.notify()
         elif not self._collector.version:
             return
-        if self._group.find_report_targets(now)[0]:
+        if self._is_reader:
             self._balancer.apply_evidence(self._collector.publish(now), now)
 
     def _keep_links(self, readers: list[Address]) -> None:
--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/shared_evidence.py
@@ -351,6 +351,13 @@
                     case.question_version = self._version
         return changed
 
+    def discard(self) -> bool:
+        """Forgets all evidence and decisions; returns whether what is published has changed."""
+        had_decisions = self._has_decisions()
+        self._cases.clear()
+        self._version += had_decisions
+        return had_decisions
+
     def acknowledge(self, version: int, now: float) -> None:
         """Records that a follower has a version, so that it can object to what is in question.
 
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -210,6 +210,23 @@
     asyncio.run(scenario())
 
 
+def test_an_entry_vm_that_stops_being_a_reader_forgets_its_decisions():
+    """Guards against a decision that is published again although the server has answered.
+
+    Answers are reported only to readers, so they do not reach an entry VM that is none.
+    """
+
+    async def scenario():
+        async with running_zone() as vms:
+            await fall_silent(vms[2:4])
+            await wait_for(lambda: vms[0].sees_condemned)
+            vms[0].vm._group.entry_vms.own.state = "leaving"
+            collector = vms[0].vm._evidence_exchange._collector
+            await wait_for(lambda: collector.version == 0, 1.0)
+
+    asyncio.run(scenario())
+
+
 REPORT = ServerReport("s-1", 0, 3, 0.6, 0.3)
 
 
