Keep the earliest beginning of a silence that a reader published

Decisions carry the age of the silence, so a delayed message made it begin later. After an answer seen here had overridden a decision, the next message could put the decision in force again and reset idle flows of the living server.

The new test fails without the change. test_evidence_exchanges, test_shared_evidence, test_condemned_servers and test_packet_evidence: 77 passed.

--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/shared_evidence.py
@@ -563,13 +563,14 @@
         if evidence is not None and evidence.unchanged and evidence.version == self.version:
             self._valid_until = now + self._settings.verdict_ttl_seconds
             return
+        known = self._questioned | self._condemned
         self.discard()
         if evidence is None or evidence.unchanged:
             return
         self.version = evidence.version
         self._valid_until = now + self._settings.verdict_ttl_seconds
-        self._questioned = _index(evidence.questioned, now)
-        self._condemned = _index(evidence.condemned, now)
+        self._questioned = _index(evidence.questioned, known, now)
+        self._condemned = _index(evidence.condemned, known, now)
 
     def discard(self) -> None:
         """Forgets all decisions."""
@@ -638,11 +639,21 @@
         return silence if silence is not None and answered_at <= silence.since else None
 
 
-def _index(silences: Iterable[PublishedSilence], now: float) -> dict[ServerKey, _KnownSilence]:
-    return {
-        (each.server, each.incarnation): _KnownSilence(now - each.since, each.prober)
-        for each in silences
-    }
+def _index(
+    silences: Iterable[PublishedSilence], known: dict[ServerKey, _KnownSilence], now: float
+) -> dict[ServerKey, _KnownSilence]:
+    """Returns silences by server, each with the earliest beginning known so far.
+
+    A delayed message makes a silence begin later, and so after answers that contradict it.
+    """
+    indexed = {}
+    for silence in silences:
+        key = silence.server, silence.incarnation
+        since = now - silence.since
+        if key in known:
+            since = min(since, known[key].since)
+        indexed[key] = _KnownSilence(since, silence.prober)
+    return indexed
 
 
 def _make_age(moment: float, now: float) -> float | None:
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -57,6 +57,18 @@
     assert list(world.balancer.find_objections(world.now)) == [("s-1", 0)]
 
 
+def test_a_decision_that_arrives_late_does_not_outlive_an_answer_seen_here():
+    """A delayed reply makes the silence begin later than it did, and so after the answer."""
+    world, caller = make_world()
+    caller.request()
+    condemn(world, since=0.1)
+    world.now += 0.05
+    assert isinstance(caller.receive_answer(), Forward)
+    assert world.advance(0.3) == []
+    condemn(world, since=0.2)
+    assert world.advance(0.3) == []
+
+
 @pytest.mark.parametrize("other", [{"incarnation": 1}, {"name": "s-2"}, {"prober": "front-9"}])
 def test_flows_survive_the_decision_on_another_incarnation_or_server_or_a_probation(other):
     world, _ = make_world()
