--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -85,6 +85,9 @@
         self._overload_controls: dict[str, OverloadControl] = {}
         self._quick_call_at = float("-inf")
         self._last_tick_at = now
+        self._resumed_at = float("-inf")
+        self._other_entry_vms: frozenset[tuple[str, int]] = frozenset()
+        self._paths_changed_at = float("-inf")
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         self.cold_starts = ColdStartControl(settings.name, settings.zone, settings.cold_starts, now)
         self.server_list = ServerList(settings.servers)
@@ -209,6 +212,7 @@
         """
         was_stalled = self._is_stalled(now)
         if was_stalled:
+            self._resumed_at = now
             self._discard_evidence(now)
         self._last_tick_at = now
         self.server_list.expire(now)
@@ -222,8 +226,29 @@
             self._evict_expired_flows(now)
         return resets
 
-    def apply_evidence(self, evidence: PublishedEvidence | None, now: float) -> None:
-        """Puts the decisions of a reader on dead servers in force, in place of earlier ones."""
+    def update_entry_vms(self, others: frozenset[tuple[str, int]], now: float) -> None:
+        """Records which other entry VMs may get packets, by name and incarnation.
+
+        When they change, packets of some flows take another way. What becomes of flows that were
+        idle then is not known here, so they are not reset while they are idle.
+        """
+        if others != self._other_entry_vms:
+            self._other_entry_vms = others
+            self._paths_changed_at = now
+
+    def apply_evidence(
+        self, evidence: PublishedEvidence | None, now: float, asked_at: float | None = None
+    ) -> None:
+        """Puts the decisions of a reader on dead servers in force, in place of earlier ones.
+
+        Args:
+            evidence: the decisions; None if there are none.
+            now: time on the monotonic clock, in seconds.
+            asked_at: when another entry VM was asked for them. If this process has stalled since
+                then, the reply may have waited in the socket, and the decisions are discarded.
+        """
+        if asked_at is not None and (asked_at < self._resumed_at or self._is_stalled(now)):
+            evidence = None
         self.verdicts.apply(evidence, now)
         self._avoid_condemned_servers(now)
 
@@ -652,8 +677,9 @@
         resets = []
         for flow in list(self._flows):
             busy = flow.opening or flow.closing or flow.waiting_since is not None
+            may_have_moved = flow.active_at <= self._paths_changed_at
             reason = dead_servers.get(_key_of(flow.server))
-            if not busy and reason is not None:
+            if not busy and not may_have_moved and reason is not None:
                 self._end_flow(flow)
                 self._log_dead_server(flow, now, reason)
                 self.counters["reset_idle"] += 1
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -107,13 +107,16 @@
             self._asks_whole_routes = False
             self._client = HttpClient(address, Step.FOLLOW)
             log_event(logger, LogEvent.PEER_FOLLOWED, peer=str(address))
-        target = self._make_question(wait)
+        # A fallback peer may be of another zone, which may reach other servers than this one.
+        shares_evidence = self._balancer.shares_evidence and self._group.is_zone_reader(address)
+        target = self._make_question(wait, shares_evidence)
+        evidence_asked_at = time.monotonic() if shares_evidence else None
         reply = await self._client.get(target, wait + self._settings.peers.timeout)
         now = time.monotonic()
         match reply:
             case Ok(HttpReply(status=200, body=body)):
                 # A fallback peer is asked without waiting for a change, so the pause is here.
-                if self._apply_response(address, body, now) and not wait:
+                if self._apply_response(address, body, now, evidence_asked_at) and not wait:
                     await asyncio.sleep(self._settings.peers.helper_pause)
             case Ok(HttpReply(status=status)):
                 self._record_peer_failure(
@@ -123,7 +126,7 @@
             case Err(error):
                 self._record_peer_failure(address, error)
 
-    def _make_question(self, wait: float) -> str:
+    def _make_question(self, wait: float, shares_evidence: bool = False) -> str:
         """Returns the request target that asks a peer for changes.
 
         The eras are sent even if they are 0: their absence shows a follower of an older build.
@@ -131,7 +134,6 @@
         drains of an answer begin at the same version. The whole routes are asked for again if the
         limits of cold servers are missing and the peer may have them.
         """
-        shares_evidence = self._balancer.shares_evidence
         version = self._balancer.server_list.known_version
         routes = None if self._asks_whole_routes else self._balancer.routes
         routes_version, routes_era = routes.order if routes else (0, 0)
@@ -141,8 +143,13 @@
             + (f"&evidence={self._balancer.verdicts.version}" if shares_evidence else "")
         )
 
-    def _apply_response(self, address: Address, body: bytes, now: float) -> bool:
-        """Applies the state in another entry VM's response; returns whether it could be used."""
+    def _apply_response(
+        self, address: Address, body: bytes, now: float, evidence_asked_at: float | None = None
+    ) -> bool:
+        """Applies the state in another entry VM's response; returns whether it could be used.
+
+        The decisions on dead servers are applied if they were asked for.
+        """
         match decode_state(body):
             case Ok(state):
                 if not apply_state(state, self._balancer, now):
@@ -158,8 +165,8 @@
                 else:
                     reason = f"drains of zones not known as of {state.era}.{state.revision}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
-                if self._balancer.shares_evidence:
-                    self._balancer.apply_evidence(state.evidence, now)
+                if evidence_asked_at is not None:
+                    self._balancer.apply_evidence(state.evidence, now, evidence_asked_at)
                 self._publisher.notify()
                 return True
             case Err(reason):
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -12,7 +12,9 @@
 from marjoramford.flow_metrics import render_flow_metrics
 from marjoramford.packets import Forward, ResetFlow
 from marjoramford.peer_groups import PeerGroup
+from marjoramford.server_lists import ListChanges
 from marjoramford.shared_evidence import PublishedEvidence, PublishedSilence
+from marjoramford.state_versions import StateVersion
 
 from .evidence_zones import ENABLED
 from .flow_worlds import SETTINGS, START, FlowWorld, record
@@ -55,6 +57,18 @@
     assert list(world.balancer.find_objections(world.now)) == [("s-1", 0)]
 
 
+def test_a_decision_that_arrives_late_does_not_outlive_an_answer_seen_here():
+    """A delayed reply makes the silence begin later than it did, and so after the answer."""
+    world, caller = make_world()
+    caller.request()
+    condemn(world, since=0.1)
+    world.now += 0.05
+    assert isinstance(caller.receive_answer(), Forward)
+    assert world.advance(0.3) == []
+    condemn(world, since=0.2)
+    assert world.advance(0.3) == []
+
+
 @pytest.mark.parametrize("other", [{"incarnation": 1}, {"name": "s-2"}, {"prober": "front-9"}])
 def test_flows_survive_the_decision_on_another_incarnation_or_server_or_a_probation(other):
     world, _ = make_world()
@@ -78,6 +92,23 @@
     assert world.advance(0.3) == []
 
 
+@pytest.mark.parametrize("ticks_first", [True, False])
+def test_decisions_that_were_asked_for_before_a_stall_reset_nothing(ticks_first):
+    """A reply that waited in the socket during a stall may hold a decision that has since ended."""
+    world, caller = make_world()
+    asked_at = world.now
+    world.now += 1.0
+    if ticks_first:
+        world.balancer.tick(world.now)
+    silence = PublishedSilence("s-1", 0, 0.5)
+    decisions = PublishedEvidence(7, False, (), (silence,))
+    world.balancer.apply_evidence(decisions, world.now, asked_at)
+    assert isinstance(caller.request(), Forward)
+    assert world.advance(0.3) == []
+    world.balancer.apply_evidence(decisions, world.now, world.now)
+    assert world.balancer.count_condemned(world.now) == 1
+
+
 def test_new_flows_avoid_a_condemned_server_unless_there_is_no_other():
     world = FlowWorld(record("s-1"), record("s-2", 2), settings=ENABLED)
     condemn(world)
@@ -169,3 +200,25 @@
     silences = world.balancer.find_silences(world.now)
     assert len(silences) == 2
     assert not any(silence.link_suspected for silence in silences.values())
+
+
+@pytest.mark.parametrize("reason", ["condemned", "gone"])
+def test_idle_flows_that_may_have_moved_to_another_entry_vm_are_not_reset(reason):
+    """Guards against resets of flows of living servers through entry VMs that they left.
+
+    Packets of some flows take another way when an entry VM joins or leaves. The caller may then
+    have used its port again for a flow to another server, or get answers of a server that left the
+    list. Neither shows here, and callers accept any reset of the flow.
+    """
+    world, caller = make_world()
+    world.balancer.update_entry_vms(frozenset({("front-9", 1)}), world.now)
+    world.advance(5.0)
+    if reason == "condemned":
+        condemn(world)
+    else:
+        world.apply(ListChanges((), (("s-1", 101),), False, StateVersion(0, 101)))
+    resets = []
+    for _ in range(50):
+        world.confirm()
+        resets += world.advance(0.1)
+    assert caller.key not in [reset.flow for reset in resets]
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -1,6 +1,8 @@
 """Evidence of dead servers between entry VMs of a zone, over loopback sockets."""
 
 import asyncio
+import contextlib
+import itertools
 import time
 from contextlib import asynccontextmanager
 
@@ -12,9 +14,15 @@
 from marjoramford.errors import Step
 from marjoramford.http_calls import HttpClient
 from marjoramford.http_services import HttpRequest, HttpResponse
-from marjoramford.packet_daemons import PacketVm
+from marjoramford.packet_daemons import PacketVm, _make_collector
 from marjoramford.packets import FlowKey
-from marjoramford.shared_evidence import EvidenceMessage, ServerReport
+from marjoramford.published_states import PublishedState, encode_state
+from marjoramford.shared_evidence import (
+    EvidenceMessage,
+    PublishedEvidence,
+    PublishedSilence,
+    ServerReport,
+)
 
 from .evidence_zones import ENABLED
 from .flow_worlds import (
@@ -202,6 +210,23 @@
     asyncio.run(scenario())
 
 
+def test_an_entry_vm_that_stops_being_a_reader_forgets_its_decisions():
+    """Guards against a decision that is published again although the server has answered.
+
+    Answers are reported only to readers, so they do not reach an entry VM that is none.
+    """
+
+    async def scenario():
+        async with running_zone() as vms:
+            await fall_silent(vms[2:4])
+            await wait_for(lambda: vms[0].sees_condemned)
+            vms[0].vm._group.entry_vms.own.state = "leaving"
+            collector = vms[0].vm._evidence_exchange._collector
+            await wait_for(lambda: collector.version == 0, 1.0)
+
+    asyncio.run(scenario())
+
+
 REPORT = ServerReport("s-1", 0, 3, 0.6, 0.3)
 
 
@@ -228,6 +253,80 @@
     assert 204 in [getattr(entry, "event", 0) for entry in caplog.records]
 
 
+def test_a_reader_that_does_not_know_an_entry_vm_yet_is_told_of_it():
+    """Guards against the loss of the evidence of entry VMs that have just started."""
+
+    async def scenario():
+        async with running_zone() as vms:
+            started = vms[2]
+            for vm in vms[:2]:
+                del vm.vm._group.entry_vms._others[started.vm._settings.name]
+            await fall_silent(vms[2:4])
+            await wait_for(lambda: all(vm.sees_condemned for vm in vms), 3.0)
+
+    asyncio.run(scenario())
+
+
+def test_idle_flows_are_kept_after_another_entry_vm_has_joined():
+    """Guards against a timer that does not tell the balancer that flows may have moved."""
+
+    async def scenario():
+        vm = RunningVm("front-0", Address("127.0.0.1", 1), ENABLED)
+        caller = vm.open_flow(2000)
+        update = vm.vm._group.entry_vms.own.to_update()
+        vm.vm._group.merge_updates([msgspec.structs.replace(update, name="front-1")])
+        resets = []
+
+        class Packets:
+            def run_tick(self, now):
+                silence = PublishedSilence("s-1", 0, 0.0)
+                vm.balancer.apply_evidence(PublishedEvidence(7, False, (), (silence,)), now)
+                resets.extend(vm.balancer.tick(now))
+
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(vm.vm._run_timer(Packets()), 0.35)
+        assert vm.sees_condemned
+        assert caller.key not in [reset.flow for reset in resets]
+
+    asyncio.run(scenario())
+
+
+def test_an_entry_vm_of_another_zone_decides_nothing_here():
+    """Guards against resets of flows to servers that another zone cannot reach, but this one can.
+
+    While the platform does not answer, an entry VM follows any other one.
+    """
+
+    async def scenario():
+        vm = RunningVm("front-0", Address("127.0.0.1", 1), ENABLED)
+        questions = []
+
+        async def answer(request):
+            questions.append(request.target)
+            silence = PublishedSilence("s-1", 0, 0.6)
+            evidence = PublishedEvidence(7, False, (), (silence,))
+            state = PublishedState((), (), False, 1, 0.0, drains=(), evidence=evidence)
+            return HttpResponse(200, encode_state(state, False))
+
+        server, address = await serve(answer)
+        update = vm.vm._group.entry_vms.own.to_update()
+        for zone, condemned in (("elsewhere", False), (update.zone, True)):
+            vm.vm._group.merge_updates(
+                [
+                    msgspec.structs.replace(
+                        update, name=f"{zone}-{n}", zone=zone, control_address=address
+                    )
+                    for n in range(6)
+                ]
+            )
+            vm.balancer.tick(vm.now)
+            await vm.vm._reader._follow(address, 0.0)
+            assert ("evidence=" in questions[-1], vm.sees_condemned) == (condemned, condemned)
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_without_the_setting_there_is_no_endpoint_no_call_and_no_field():
     async def scenario():
         async with running_zone(settings=SETTINGS) as vms:
@@ -242,6 +341,16 @@
     asyncio.run(scenario())
 
 
+def test_decisions_of_readers_that_start_together_have_different_versions():
+    """Guards against a follower that takes the decisions of one reader for those of another.
+
+    After a power failure many entry VMs start within a second, so versions in milliseconds meet.
+    """
+    versions = sorted(_make_collector(ENABLED)._version for _ in range(20))
+    assert versions[-1] < 2**63
+    assert min(b - a for a, b in itertools.pairwise(versions)) > 0
+
+
 def test_nothing_is_sent_while_nothing_is_silent():
     async def scenario():
         async with running_zone() as vms:
