--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -55,7 +55,8 @@
     """Whether the program has installed its signal handlers.
 
     SIGHUP may already be ignored in the environment of the tests, so SIGTERM is checked too. It is
-    ignored during the imports and caught afterwards; on a busy machine the first look may come late.
+    ignored during the imports and caught afterwards; on a busy machine the first look may come
+    late.
     """
     with open(f"/proc/{process.pid}/status") as status:
         masks = dict(line.split(":") for line in status if line.startswith("Sig"))
