Copies of opening packets follow the routes in force; idle flows of condemned servers end again

Ruled out by reading: route tables that go back (apply_routes compares versions).

Change: a copy without a route, or whose server's service the route no longer names, moves to the service in force or is dropped. Idle flows that may have moved are reset by a decision of the zone again, not because the server left the list.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -48,6 +48,8 @@
 MAX_ROUTE_TABLES = 32
 # Reason for which opening packets are refused or dropped.
 ZONE_DRAINED = "zone drained"
+# Reason for which flows are reset.
+CONDEMNED = "condemned"
 COLD_SERVERS = "cold servers"
 # Callers repeat an opening packet for so long at most.
 OPENING_ATTEMPT_SECONDS = 1.4
@@ -229,8 +231,8 @@
     def update_entry_vms(self, others: frozenset[tuple[str, int]], now: float) -> None:
         """Records which other entry VMs may get packets, by name and incarnation.
 
-        When they change, packets of some flows take another way. What becomes of flows that were
-        idle then is not known here, so they are not reset while they are idle.
+        When they change, packets of some flows take another way. Whether flows that were idle then
+        get answers there is not known here.
         """
         if others != self._other_entry_vms:
             self._other_entry_vms = others
@@ -381,21 +383,29 @@
         packet, or if it accepts no more work. The flow stays if no other server can take it, and in
         any case for the first `copy_seconds` at each server. Later a copy to a cold server needs a
         token or goes elsewhere. A copy that no server can take, or that would go to a drained zone,
-        is dropped: a reset could hit a flow that has just opened.
+        is dropped: a reset could hit a flow that has just opened. So is one without a route; if the
+        route now leads to other services, the flow moves there.
         """
         flow.active_at = now
         server = flow.server
+        route = self._routes.find(flow.key.route_ip, flow.key.route_port)
+        if route is None:
+            return self._drop("no route")
+        is_allowed = route.leads_to(server.service)
         answered = server.responsiveness.answered_at >= flow.waiting_since
         within_copy_interval = now - flow.waiting_since < self._settings.placement.copy_seconds
         if within_copy_interval:
-            return self._repeat_opening(flow)
-        if answered and server.accepts_work and self._take_token(server, now):
+            return self._repeat_opening(flow) if is_allowed else self._drop("route has changed")
+        if answered and is_allowed and server.accepts_work and self._take_token(server, now):
             return self._repeat_opening(flow)
         if not answered:
             # No more than suspected: a full server does not answer opening packets.
             self._suspect(server, flow.waiting_since, now)
             self.verdicts.record_silent_opening(_key_of(server), flow.waiting_since, now)
-        alternative = self._place(server.service, (*flow.tried, server), now)
+        service = server.service if is_allowed else route.choose_service(self._random)
+        alternative = self._place(service, (*flow.tried, server), now)
+        if alternative is None and not is_allowed:
+            return self._drop("route has changed")
         is_drained = server.zone_drained
         # If the server has started again, its new start receives the copy.
         receiver = self.server_list.servers.get(server.name) or server
@@ -665,13 +675,18 @@
         return resets
 
     def _reset_idle_flows(self, now: float) -> list[FlowReset]:
-        """Resets idle flows of dead servers, so that the callers' next requests open new flows."""
+        """Resets idle flows of dead servers, so that the callers' next requests open new flows.
+
+        Flows that may have moved to another entry VM are reset only if the zone considers the
+        server dead: an entry VM to which it answers would have objected. A caller that has used the
+        port again since ignores the reset, whose number is far from its last acknowledgement.
+        """
         dead_servers: dict[ServerKey, str] = {}
         for server in self.server_list.labels.servers():
             if self._are_idle_flows_dead(server, now):
                 dead_servers[_key_of(server)] = "server is dead"
             elif self.is_condemned(server, now):
-                dead_servers[_key_of(server)] = "condemned"
+                dead_servers[_key_of(server)] = CONDEMNED
         if not dead_servers:
             return []
         resets = []
@@ -679,7 +694,9 @@
             busy = flow.opening or flow.closing or flow.waiting_since is not None
             may_have_moved = flow.active_at <= self._paths_changed_at
             reason = dead_servers.get(_key_of(flow.server))
-            if not busy and not may_have_moved and reason is not None:
+            if busy or reason is None:
+                continue
+            if reason == CONDEMNED or not may_have_moved:
                 self._end_flow(flow)
                 self._log_dead_server(flow, now, reason)
                 self.counters["reset_idle"] += 1
--- a/marjoramford/routes.py
+++ b/marjoramford/routes.py
@@ -30,6 +30,10 @@
     priority: int = 0
     target_seconds: float = 0.0
 
+    def leads_to(self, service: str) -> bool:
+        """Returns whether flows of the route may open at a service."""
+        return any(part.name == service and part.weight > 0 for part in self.services)
+
     def choose_service(self, random: Random) -> str:
         """Returns a service drawn at random by weight."""
         if len(self.services) == 1:
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -6,6 +6,7 @@
 from marjoramford.flow_balancers import MAX_UNKNOWN_LABELS
 from marjoramford.flow_labels import LabelIndex, derive_label
 from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
+from marjoramford.routes import RouteTable
 
 from .flow_worlds import (
     ROUTE_IP,
@@ -132,6 +133,33 @@
     assert len({caller.open().server.name for _ in range(3)}) == 1
 
 
+def test_a_copy_follows_the_routes_in_force_and_not_those_of_the_first_packet():
+    """Regression from cpl-coastal-grown scale-2: CONFIG broken in 2 of 9 plays.
+
+    The first packet goes to a dark server of a service; before its copy comes, a new version of the
+    routes leads to another service, at which flows have already opened.
+    """
+    world = FlowWorld(record("s-1"), record("s-2"), record("s-3", service="other"))
+    caller = world.caller()
+    assert caller.open().server.service == "booking"
+    world.balancer.apply_routes(route_table(version=2, service="other"))
+    world.advance(0.05)
+    assert caller.open() == DropPacket("route has changed")
+    world.advance(0.15)
+    assert caller.open().server.name == "s-3"
+
+
+def test_a_copy_without_a_route_or_a_server_of_its_new_service_is_dropped():
+    world = FlowWorld(record("s-1"))
+    caller = world.caller()
+    caller.open()
+    world.balancer.apply_routes(route_table(version=2, service="other"))
+    world.advance(0.2)
+    assert caller.open() == DropPacket("route has changed")
+    world.balancer.apply_routes(RouteTable(3, (), 15.0))
+    assert caller.open() == DropPacket("no route")
+
+
 def test_a_late_copy_does_not_move_an_open_flow():
     world = two_server_world()
     caller = world.caller()
