Two tests of restores share the steps that differed in two numbers

Cause: the two tests repeated twenty lines. Change: check_list_after_restore takes the number of changes and the revision; both names and all assertions stay.

--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -55,14 +55,16 @@
         store.put(f"servers/i-a{number}", SERVER)
 
 
-def test_a_whole_read_after_a_restore_is_ignored_because_its_revisions_are_lower():
+def check_list_after_restore(changes, revision):
+    """Restores the store, makes changes up to a revision, and compares list and store."""
+
     async def scenario():
         store, copy = store_with_lost_changes()
         server, balancer, reader = await reader_of(store)
         assert (await reader.read(0.1)).is_ok()
         store.restore(copy)
-        change_after_restore(store, 2)
-        assert store.revision == 7
+        change_after_restore(store, changes)
+        assert store.revision == revision
         for _ in range(2):
             await reader.read(0.01)
         assert names(balancer) == store_names(store)
@@ -71,20 +73,12 @@
     asyncio.run(scenario())
 
 
-def test_only_the_last_of_six_changes_is_seen_because_revisions_were_assigned_again():
-    async def scenario():
-        store, copy = store_with_lost_changes()
-        server, balancer, reader = await reader_of(store)
-        assert (await reader.read(0.1)).is_ok()
-        store.restore(copy)
-        change_after_restore(store, 6)
-        assert store.revision == 11
-        for _ in range(2):
-            await reader.read(0.01)
-        assert names(balancer) == store_names(store)
-        server.close()
+def test_a_whole_read_after_a_restore_is_ignored_because_its_revisions_are_lower():
+    check_list_after_restore(changes=2, revision=7)
 
-    asyncio.run(scenario())
+
+def test_only_the_last_of_six_changes_is_seen_because_revisions_were_assigned_again():
+    check_list_after_restore(changes=6, revision=11)
 
 
 def test_a_watch_that_waits_is_answered_when_the_stand_in_is_restored():
