An entry VM forwards packets before it imports asyncio and the HTTP services

Change: `early_starts` reads servers and routes with a loop on `select.poll` and forwards packets; the other modules are imported between packets. SIGHUP during the start is remembered.

--- a/marjoramford/evidence_exchanges.py
+++ b/marjoramford/evidence_exchanges.py
@@ -19,8 +19,8 @@
 from .json_bodies import decode_json
 from .logs import LogEvent, log_event
 from .peer_groups import PeerGroup
-from .published_states import StatePublisher
 from .shared_evidence import EvidenceCollector, EvidenceMessage, ReportLog, ServerReport
+from .state_publishers import StatePublisher
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/http_calls.py
+++ b/marjoramford/http_calls.py
@@ -1,33 +1,24 @@
-"""HTTP/1.1 client for one keep-alive connection, built on h11 to use little memory."""
+"""HTTP/1.1 client for one keep-alive connection."""
 
 import asyncio
 
-import h11
-import msgspec
 from result import Err, Ok, Result
 
 from .addresses import Address
 from .errors import Step, StepError
+from .http_messages import (
+    MAX_REPLY_BODY_BYTES,
+    HttpError,
+    HttpReply,
+    ReplyReader,
+    encode_request,
+)
 
 READ_CHUNK_BYTES = 65_536
-MAX_BODY_BYTES = 4 * 1_048_576
-
 
 # An address received from outside may contain a host name or port that is not valid at all.
 _UNUSABLE_ADDRESS_ERRORS = (ValueError, OverflowError)
-_CALL_ERRORS = (OSError, TimeoutError, EOFError, h11.ProtocolError, *_UNUSABLE_ADDRESS_ERRORS)
-
-
-class HttpReply(msgspec.Struct, frozen=True):
-    """A complete response.
-
-    Attributes:
-        headers: values by name, in lower case; of a repeated header, the last one.
-    """
-
-    status: int
-    body: bytes
-    headers: dict[str, str] = {}
+CALL_ERRORS = (OSError, TimeoutError, EOFError, HttpError, *_UNUSABLE_ADDRESS_ERRORS)
 
 
 class HttpClient:
@@ -46,7 +37,7 @@
         self._step = step
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
-        self._connection = h11.Connection(h11.CLIENT)
+        self._replies = ReplyReader(MAX_REPLY_BODY_BYTES)
 
     async def get(self, target: str, timeout: float) -> Result[HttpReply, StepError]:
         """Sends a GET request; `timeout` covers the whole call, in seconds."""
@@ -68,7 +59,7 @@
         try:
             async with asyncio.timeout(timeout):
                 reply = await self._exchange(method, target, body)
-        except _CALL_ERRORS as error:
+        except CALL_ERRORS as error:
             self.close()
             reason = str(error) or type(error).__name__
             return Err(StepError(self._step, str(self._address), reason))
@@ -82,44 +73,17 @@
             self._reader, self._writer = await asyncio.open_connection(
                 self._address.host, self._address.port, limit=READ_CHUNK_BYTES
             )
-            self._connection = h11.Connection(h11.CLIENT)
-        headers = [("Host", str(self._address)), ("Content-Length", str(len(body)))]
-        if body:
-            headers.append(("Content-Type", "application/json"))
-        request = h11.Request(method=method, target=target, headers=headers)
-        self._writer.write(self._connection.send(request))
-        if body:
-            self._writer.write(self._connection.send(h11.Data(body)))
-        self._writer.write(self._connection.send(h11.EndOfMessage()))
+            self._replies = ReplyReader(MAX_REPLY_BODY_BYTES)
+        self._writer.write(encode_request(method, str(self._address), target, body))
         reply = await self._read_reply()
-        if self._connection.our_state is h11.MUST_CLOSE:
+        if not reply.keeps_connection:
             self.close()
-        else:
-            self._connection.start_next_cycle()
         return reply
 
     async def _read_reply(self) -> HttpReply:
-        status = 0
-        headers: dict[str, str] = {}
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            event = self._connection.next_event()
-            match event:
-                case h11.Response():
-                    status = event.status_code
-                    headers = {
-                        name.decode("latin-1"): value.decode("latin-1")
-                        for name, value in event.headers
-                    }
-                case h11.Data():
-                    chunks.append(bytes(event.data))
-                    size += len(event.data)
-                    if size > MAX_BODY_BYTES:
-                        raise OSError("response body is too long")
-                case h11.EndOfMessage():
-                    return HttpReply(status, b"".join(chunks), headers)
-                case _ if event is h11.NEED_DATA:
-                    self._connection.receive_data(await self._reader.read(READ_CHUNK_BYTES))
-                case h11.ConnectionClosed():
-                    raise EOFError("connection closed before the response was complete")
+        while (reply := self._replies.take()) is None:
+            data = await self._reader.read(READ_CHUNK_BYTES)
+            if not data:
+                raise EOFError("connection closed before the response was complete")
+            self._replies.feed(data)
+        return reply
--- a/marjoramford/http_services.py
+++ b/marjoramford/http_services.py
@@ -1,13 +1,13 @@
-"""A small HTTP/1.1 server for probes, metrics, state and other entry VMs, built on h11."""
+"""A small HTTP/1.1 server for probes, metrics, state and other entry VMs."""
 
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 
-import h11
 import msgspec
 
 from .addresses import Address
+from .http_messages import HttpError, HttpRequest, RequestReader, encode_response
 
 logger = logging.getLogger(__name__)
 
@@ -17,14 +17,6 @@
 IDLE_TIMEOUT_SECONDS = 30.0
 
 
-class HttpRequest(msgspec.Struct, frozen=True):
-    """A request with its complete body."""
-
-    method: str
-    target: str
-    body: bytes
-
-
 class HttpResponse(msgspec.Struct, frozen=True):
     """The response of a handler."""
 
@@ -43,7 +35,7 @@
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await _serve_requests(reader, writer, handler)
-        except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
+        except (OSError, TimeoutError, EOFError, HttpError) as error:
             logger.debug("connection to %s ended: %r", address, error)
         except asyncio.CancelledError:
             # The process is stopping. The callback of asyncio streams fails on a cancelled task,
@@ -60,46 +52,28 @@
 async def _serve_requests(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
 ) -> None:
-    connection = h11.Connection(h11.SERVER)
+    requests = RequestReader(MAX_BODY_BYTES)
     while True:
-        request = await _read_request(connection, reader)
+        request = await _read_request(requests, reader)
         if request is None:
             return
         answer = await handler(request)
-        headers = [
-            ("Content-Type", answer.content_type),
-            ("Content-Length", str(len(answer.body))),
-            *answer.headers,
-        ]
-        writer.write(
-            connection.send(h11.Response(status_code=answer.status, headers=headers))
-            + connection.send(h11.Data(answer.body))
-            + connection.send(h11.EndOfMessage())
-        )
+        headers = {"Content-Type": answer.content_type, **dict(answer.headers)}
+        if not request.keeps_connection:
+            headers["Connection"] = "close"
+        writer.write(encode_response(answer.status, headers, answer.body))
         await writer.drain()
-        if connection.our_state is h11.MUST_CLOSE:
+        if not request.keeps_connection:
             return
-        connection.start_next_cycle()
 
 
 async def _read_request(
-    connection: h11.Connection, reader: asyncio.StreamReader
+    requests: RequestReader, reader: asyncio.StreamReader
 ) -> HttpRequest | None:
-    head: h11.Request | None = None
-    body = b""
-    while True:
-        event = connection.next_event()
-        match event:
-            case h11.Request():
-                head = event
-            case h11.Data():
-                body += event.data
-                if len(body) > MAX_BODY_BYTES:
-                    raise OSError("request body is too long")
-            case h11.EndOfMessage():
-                return HttpRequest(head.method.decode(), head.target.decode(), body)
-            case _ if event is h11.NEED_DATA:
-                async with asyncio.timeout(IDLE_TIMEOUT_SECONDS):
-                    connection.receive_data(await reader.read(READ_CHUNK_BYTES))
-            case _:
-                return None
+    while (request := requests.take()) is None:
+        async with asyncio.timeout(IDLE_TIMEOUT_SECONDS):
+            data = await reader.read(READ_CHUNK_BYTES)
+        if not data:
+            return None
+        requests.feed(data)
+    return request
--- a/marjoramford/logs.py
+++ b/marjoramford/logs.py
@@ -5,7 +5,7 @@
 import time
 from enum import IntEnum
 
-from pythonjsonlogger.json import JsonFormatter
+import msgspec
 
 MAX_EVENTS_PER_SECOND = 20
 
@@ -122,6 +122,32 @@
         return line
 
 
+# Types whose values JSON has, or msgspec converts.
+_JSON_TYPES = (str, int, float, list, tuple, dict, type(None))
+
+
+def _to_json(value: object) -> object:
+    return value if isinstance(value, _JSON_TYPES) else str(value)
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one line of JSON: time, level, message, and event number and fields."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line of a record; values that JSON does not have are given as text."""
+        line = {
+            "asctime": self.formatTime(record),
+            "levelname": record.levelname,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            line["exc_info"] = self.formatException(record.exc_info)
+        if hasattr(record, "event"):
+            line["event"] = record.event
+            line["fields"] = {name: _to_json(value) for name, value in record.fields.items()}
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
 def log_event(logger: logging.Logger, event: LogEvent, **fields: object) -> None:
     """Logs a numbered event with its fields."""
     level = _LEVELS.get(event, logging.INFO)
@@ -164,8 +190,7 @@
     else:
         handler = NonBlockingHandler(descriptor)
     handler.addFilter(RateLimitFilter())
-    formatter = JsonFormatter("%(asctime)s %(levelname)s %(message)s")
-    handler.setFormatter(formatter if style == "json" else PlainFormatter())
+    handler.setFormatter(JsonFormatter() if style == "json" else PlainFormatter())
     package = logging.getLogger(__package__)
     package.handlers[:] = [handler]
     package.setLevel(level.upper())
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -7,7 +7,6 @@
 import asyncio
 import logging
 import signal
-import socket
 import time
 from collections.abc import Callable
 from random import Random
@@ -19,89 +18,28 @@
 from result import Err, Ok, Result
 
 from .addresses import Address
+from .early_starts import EarlyStart
 from .entry_vms import EntryVm
 from .errors import StepError
 from .evidence_exchanges import EvidenceExchange
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
-from .http_services import HttpRequest, HttpResponse, serve_http
+from .http_messages import HttpRequest
+from .http_services import HttpResponse, serve_http
 from .logs import LogEvent, log_event
-from .packets import Forward, PacketCodec, ResetFlow
+from .packet_sockets import PacketSocket
+from .packets import PacketCodec
 from .peer_groups import PeerGroup
-from .published_states import StatePublisher
 from .shared_evidence import EvidenceCollector
+from .state_publishers import StatePublisher
 from .state_readers import MemberExchange, PlatformReader, StateReader, merge_members
 from .tasks import run_guarded
 
 logger = logging.getLogger(__name__)
 
-MAX_DATAGRAM_BYTES = 2048
-# Datagrams read in one go before the event loop runs other tasks.
-MAX_BATCH_DATAGRAMS = 64
 TICK_INTERVAL_SECONDS = 0.1
 # Longest wait of a follower's request; below the HTTP server's idle timeout.
 MAX_FOLLOWER_WAIT_SECONDS = 20.0
-RECEIVE_BUFFER_BYTES = 1_048_576
-
-
-class PacketSocket:
-    """The UDP socket for datagrams from the fabric and to callers and backend servers."""
-
-    def __init__(self, balancer: FlowBalancer, codec: PacketCodec, address: Address):
-        self._balancer = balancer
-        self._codec = codec
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._socket.bind((address.host, address.port))
-        self.last_packet_at = time.monotonic()
-
-    def open(self) -> None:
-        """Starts receiving."""
-        asyncio.get_running_loop().add_reader(self._socket.fileno(), self._receive)
-
-    def close(self) -> None:
-        """Stops receiving and closes the socket."""
-        asyncio.get_running_loop().remove_reader(self._socket.fileno())
-        self._socket.close()
-
-    def run_tick(self, now: float) -> None:
-        """Advances the balancer to `now` and sends the resets that it returns."""
-        for reset in self._balancer.tick(now):
-            self._send(*self._codec.encode_reset(reset.flow, reset.acknowledged))
-
-    def _receive(self) -> None:
-        for _ in range(MAX_BATCH_DATAGRAMS):
-            try:
-                datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as error:
-                self._balancer.counters["receive_failed"] += 1
-                logger.debug("receiving a datagram failed: %r", error)
-                return
-            self._handle_datagram(datagram)
-
-    def _handle_datagram(self, datagram: bytes) -> None:
-        header = self._codec.decode(datagram)
-        if header is None:
-            self._balancer.counters["datagram_malformed"] += 1
-            log_event(logger, LogEvent.DATAGRAM_DROPPED, bytes=len(datagram))
-            return
-        now = time.monotonic()
-        self.last_packet_at = now
-        match self._balancer.handle_packet(header, now):
-            case Forward() as forward:
-                payload = self._codec.encode_forwarded(datagram, forward)
-                self._send(payload, forward.server.data_address)
-            case ResetFlow():
-                self._send(*self._codec.encode_reset(header.flow, header.acknowledged))
-
-    def _send(self, payload: bytes, address: Address) -> None:
-        try:
-            self._socket.sendto(payload, (address.host, address.port))
-        except OSError as error:
-            self._balancer.counters["send_failed"] += 1
-            logger.debug("sending a datagram to %s failed: %r", address, error)
 
 
 class _FollowerRequest(msgspec.Struct, frozen=True):
@@ -136,6 +74,7 @@
         make_reader: returns the reader that loads the platform's state into a balancer.
         reload_settings: reads the settings file again; called on SIGHUP. Only `seeds` and `stop`
             are applied; other settings need a restart.
+        early: what already runs; None if nothing does.
     """
 
     def __init__(
@@ -144,11 +83,16 @@
         codec: PacketCodec,
         make_reader: Callable[[PacketVmSettings, FlowBalancer], PlatformReader],
         reload_settings: Callable[[], Result[PacketVmSettings, StepError]],
+        early: EarlyStart | None = None,
     ):
         self._settings = settings
         self._codec = codec
         self._reload_settings = reload_settings
-        self.balancer = FlowBalancer(settings, Random(), time.monotonic())
+        self._early = early
+        if early is not None:
+            self.balancer = early.balancer
+        else:
+            self.balancer = FlowBalancer(settings, Random(), time.monotonic())
         collector = _make_collector(settings)
         self._publisher = StatePublisher(self.balancer, collector)
         self._group = PeerGroup(
@@ -176,9 +120,9 @@
     async def run(self) -> bool:
         """Serves until the graceful shutdown is complete; returns whether no task failed."""
         settings = self._settings
-        packets = PacketSocket(self.balancer, self._codec, Address.parse(settings.packet_address))
         self._install_signal_handlers()
-        packets.open()
+        packets = self._take_over_packets()
+        asyncio.get_running_loop().add_reader(packets.fileno(), packets.receive)
         servers = [
             await serve_http(Address.parse(settings.ready_address), self._handle_request),
             await serve_http(Address.parse(settings.control_address), self._handle_request),
@@ -201,10 +145,23 @@
                 task.cancel()
             for server in servers:
                 server.close()
+            asyncio.get_running_loop().remove_reader(packets.fileno())
             packets.close()
             log_event(logger, LogEvent.ENTRY_VM_STOPPED, entry_vm=settings.name)
         return not self._failed.is_set()
 
+    def _take_over_packets(self) -> PacketSocket:
+        """Returns the open socket of the early start and handles what that left, or opens one."""
+        early = self._early
+        if early is None:
+            address = Address.parse(self._settings.packet_address)
+            return PacketSocket(self.balancer, self._codec, address)
+        if early.reload_request.is_pending:
+            self._reload()
+        if early.error is not None:
+            self._reader.record_platform_failure(early.error)
+        return early.packets
+
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -3,7 +3,6 @@
 import logging
 import time
 from collections.abc import Iterable
-from urllib.parse import quote
 
 import msgspec
 from result import Err, Ok, Result
@@ -12,7 +11,7 @@
 from ..errors import Step, StepError
 from ..flow_balancers import FlowBalancer
 from ..flow_settings import PacketVmSettings
-from ..http_calls import HttpClient, HttpReply
+from ..http_messages import HttpReply, ReplyClient
 from ..json_bodies import decode_json
 from ..logs import LogEvent, log_event
 from ..read_cursors import AnswerKind, ReadCursor, ReadEverything, RejectAnswer, UseAnswer
@@ -79,15 +78,27 @@
 
     All entries are read again if the store no longer has the history since the last read, or if it
     was restored from a copy.
+
+    Args:
+        settings: settings of the entry VM.
+        balancer: gets what is read.
+        client: makes the calls; None for one that needs a running asyncio loop.
     """
 
-    def __init__(self, settings: PacketVmSettings, balancer: FlowBalancer):
+    def __init__(
+        self, settings: PacketVmSettings, balancer: FlowBalancer, client: ReplyClient | None = None
+    ):
+        self._address = Address.parse(settings.platform)
         self._timeout = settings.reads.timeout
         self._balancer = balancer
-        self._client = HttpClient(Address.parse(settings.platform), Step.READ_PLATFORM)
+        self._client = client or self._make_client()
         self._cursor = ReadCursor()
         self._preloaded: _Preload | None = None
 
+    def use_asyncio(self) -> None:
+        """Makes the next calls with a client that needs a running asyncio loop."""
+        self._client = self._make_client()
+
     async def read(self, wait: float) -> Result[bool, StepError]:
         """Updates routes and servers, waiting up to `wait` seconds for a change.
 
@@ -170,14 +181,14 @@
         """Reads the entries whose keys begin with a prefix, in pages.
 
         Args:
-            prefix: prefix of the keys; empty for all entries.
+            prefix: prefix of the keys, as in a query; empty for all entries.
             kind: kind of the first page, `NEXT_PAGE` if it continues an earlier read.
         """
         after = ""
         items: list[msgspec.Raw] = []
         revision = 0
         while True:
-            query = f"prefix={quote(prefix)}" + (f"&after={quote(after)}" if after else "")
+            query = f"prefix={prefix}" + (f"&after={_quote(after)}" if after else "")
             reply = await self._get(f"/v1/kv-range?{query}", _Page, kind, self._timeout)
             if reply.is_err() or isinstance(reply.ok_value, ReadEverything):
                 return reply
@@ -241,6 +252,12 @@
                 return self._fail(reason)
         return Ok(verdict)
 
+    def _make_client(self) -> ReplyClient:
+        # Imported here, because a start reads the store before it imports asyncio.
+        from ..http_calls import HttpClient
+
+        return HttpClient(self._address, Step.READ_PLATFORM)
+
     def _fail(self, reason: str) -> Err[StepError]:
         return Err(self._make_error(reason))
 
@@ -325,6 +342,13 @@
         )
 
 
+def _quote(key: str) -> str:
+    # Imported here, since a start rarely reads several pages.
+    from urllib.parse import quote
+
+    return quote(key)
+
+
 def _find_last_key(items: tuple[msgspec.Raw, ...]) -> str | None:
     """Returns the last key that can be read, also of an item that is otherwise invalid."""
     for raw in reversed(items):
--- a/marjoramford/published_states.py
+++ b/marjoramford/published_states.py
@@ -1,7 +1,5 @@
 """The state of routes and servers that readers of the platform send to their followers."""
 
-import asyncio
-import time
 import zlib
 from typing import Annotated
 
@@ -10,12 +8,12 @@
 from result import Err, Result
 
 from .flow_balancers import FlowBalancer
-from .http_calls import MAX_BODY_BYTES
+from .http_messages import MAX_REPLY_BODY_BYTES
 from .json_bodies import decode_json
 from .records import VmRecord
 from .routes import RouteChanges, RouteTable
 from .server_lists import ListChanges
-from .shared_evidence import EvidenceCollector, PublishedEvidence
+from .shared_evidence import PublishedEvidence
 from .state_versions import StateVersion
 from .zone_drains import ZoneDrain
 
@@ -56,119 +54,6 @@
     evidence: PublishedEvidence | None = None
 
 
-class _KnownVersions(msgspec.Struct, frozen=True):
-    """The versions that a follower has; without eras if it is of an older build."""
-
-    revision: int
-    era: int | None
-    routes_version: int
-    routes_era: int | None
-    evidence: int | None = None
-
-    def is_list_older(self, version: StateVersion) -> bool:
-        if self.era is None:
-            return self.revision < version.revision
-        return StateVersion(self.era, self.revision) < version
-
-    def are_routes_older(self, routes: RouteTable) -> bool:
-        era = routes.era if self.routes_era is None else self.routes_era
-        return (self.routes_version, era) < routes.order
-
-
-class StatePublisher:
-    """Serves the state to followers, immediately or as soon as it changes (long polling).
-
-    Args:
-        balancer: holds the state.
-        collector: decides on dead servers; None if no evidence is shared.
-    """
-
-    def __init__(self, balancer: FlowBalancer, collector: EvidenceCollector | None = None):
-        self._balancer = balancer
-        self._collector = collector
-        self._changed = asyncio.Event()
-
-    def notify(self) -> None:
-        """Wakes the followers that wait for a change."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def answer(
-        self,
-        revision: int,
-        routes_version: int,
-        wait: float,
-        compress: bool = False,
-        era: int | None = None,
-        routes_era: int | None = None,
-        evidence: int | None = None,
-    ) -> bytes:
-        """Returns the changes after the versions that a follower has, encoded.
-
-        Waits up to `wait` seconds if there are none yet.
-
-        Args:
-            revision: revision of the follower's list.
-            routes_version: version of the follower's routes.
-            wait: longest wait, in seconds.
-            compress: whether the follower decodes compressed states.
-            era: era of the revision; None if the follower is of an older build. It takes a state by
-                its revision alone and asks again at once, so it is not answered for a higher era.
-            routes_era: era of the routes version; None as for `era`.
-            evidence: version of the decisions on dead servers that the follower has; None if it
-                does not use them.
-        """
-        if self._collector is None:
-            evidence = None
-        if evidence is not None:
-            self._collector.acknowledge(evidence, time.monotonic())
-        known = _KnownVersions(revision, era, routes_version, routes_era, evidence)
-        deadline = time.monotonic() + wait
-        while not self._has_changes(known):
-            remaining = deadline - time.monotonic()
-            if remaining <= 0:
-                break
-            try:
-                async with asyncio.timeout(remaining):
-                    await self._changed.wait()
-            except TimeoutError:
-                break
-        return encode_state(self._make_state(known), compress)
-
-    def _has_changes(self, known: _KnownVersions) -> bool:
-        routes = self._balancer.routes
-        if known.evidence is not None and known.evidence != self._collector.version:
-            return True
-        newer_routes = routes is not None and known.are_routes_older(routes)
-        return newer_routes or known.is_list_older(self._balancer.server_list.version)
-
-    def _make_state(self, known: _KnownVersions) -> PublishedState:
-        now = time.monotonic()
-        balancer = self._balancer
-        # A follower without eras may hold a revision of any era: unless there was one era only, it
-        # gets a snapshot.
-        changes = balancer.server_list.changes_since(StateVersion(known.era or 0, known.revision))
-        confirmed_at = balancer.server_list.confirmed_at
-        recovered_at = balancer.server_list.recovered_at
-        return PublishedState(
-            tuple(_shift_warm_at(record, -now) for record in changes.records),
-            changes.removed,
-            changes.whole,
-            changes.version.revision,
-            now - confirmed_at if balancer.server_list.loaded else None,
-            balancer.route_history.changes_since(known.routes_version, known.routes_era),
-            changes.version.era,
-            None if recovered_at is None else max(0.0, now - recovered_at),
-            changes.drains,
-            self._make_evidence(known, now),
-        )
-
-    def _make_evidence(self, known: _KnownVersions, now: float) -> PublishedEvidence | None:
-        if known.evidence is None:
-            return None
-        return self._collector.publish(now, known.evidence)
-
-
 def encode_state(state: PublishedState, compress: bool) -> bytes:
     """Returns a state as JSON, compressed by zlib if that is wanted and the state is large."""
     body = msgspec.json.encode(state)
@@ -183,14 +68,38 @@
     if not body.startswith(b"{"):
         stream = zlib.decompressobj()
         try:
-            body = stream.decompress(body, MAX_BODY_BYTES)
+            body = stream.decompress(body, MAX_REPLY_BODY_BYTES)
         except zlib.error as error:
             return Err(str(error))
         if not stream.eof:
-            return Err(f"compressed state is truncated or longer than {MAX_BODY_BYTES} bytes")
+            return Err(f"compressed state is truncated or longer than {MAX_REPLY_BODY_BYTES} bytes")
     return decode_json(body, PublishedState)
 
 
+def make_question(
+    balancer: FlowBalancer, routes: RouteTable | None, wait: float, evidence: int | None = None
+) -> str:
+    """Returns the request target that asks another entry VM for changes.
+
+    The eras are sent even if they are 0: their absence shows a follower of an older build.
+    Entries after the version up to which the drains are known are asked for again, since the
+    drains of an answer begin at the same version.
+
+    Args:
+        balancer: holds the state so far.
+        routes: the routes so far; None to ask for the whole table.
+        wait: how long the other entry VM may wait for a change, in seconds.
+        evidence: version of the decisions on dead servers; None if they are not asked for.
+    """
+    version = balancer.server_list.known_version
+    routes_version, routes_era = routes.order if routes else (0, 0)
+    return (
+        f"/v1/published?after={version.revision}&era={version.era}&routes={routes_version}"
+        f"&routes_era={routes_era}&wait={wait}&compress=true"
+        + (f"&evidence={evidence}" if evidence is not None else "")
+    )
+
+
 def apply_state(state: PublishedState, balancer: FlowBalancer, now: float) -> bool:
     """Applies another entry VM's state as far as it is newer than the balancer's own.
 
@@ -207,7 +116,7 @@
         balancer.apply_route_changes(state.routes, has_limits=state.drains is not None)
     if state.age is None:
         return True
-    records = tuple(_shift_warm_at(record, now) for record in state.records)
+    records = tuple(shift_warm_at(record, now) for record in state.records)
     version = StateVersion(state.era, state.revision)
     changes = ListChanges(records, state.removed, state.whole, version, state.drains)
     if server_list.apply(changes, now):
@@ -216,7 +125,7 @@
     return state.era == server_list.version.era
 
 
-def _shift_warm_at(record: VmRecord, seconds: float) -> VmRecord:
+def shift_warm_at(record: VmRecord, seconds: float) -> VmRecord:
     """Returns the record with its end of warm-up shifted, to convert between clock and offset."""
     if record.warm_at <= 0:
         return record
--- a/marjoramford/standins/drain_drills.py
+++ b/marjoramford/standins/drain_drills.py
@@ -13,12 +13,11 @@
 
 import msgspec
 
-from .. import state_readers
+from .. import http_calls, state_readers
 from ..addresses import Address
 from ..errors import Step
-from ..http_calls import HttpReply
+from ..http_messages import HttpReply
 from ..peer_groups import ReadPlatform
-from ..platform import stores
 from ..platform.entries import DRAIN_PREFIX
 from ..published_states import decode_state, encode_state
 from .packet_stores import PacketStore, StoreCopy
@@ -103,7 +102,7 @@
         """Starts the deployment, lets it settle and runs a course."""
         make_client = self._network.make_client
         with (
-            mock.patch.object(stores, "HttpClient", make_client),
+            mock.patch.object(http_calls, "HttpClient", make_client),
             mock.patch.object(state_readers, "HttpClient", make_client),
         ):
             self._fill_store()
--- a/marjoramford/standins/packet_stores.py
+++ b/marjoramford/standins/packet_stores.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from ..addresses import Address
-from ..http_services import HttpRequest, HttpResponse, serve_http
+from ..http_messages import HttpRequest
+from ..http_services import HttpResponse, serve_http
 
 PAGE_ITEMS = 50
 ERA_HEADER = "Store-Era"
--- a/marjoramford/standins/restore_drills.py
+++ b/marjoramford/standins/restore_drills.py
@@ -17,19 +17,18 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .. import state_readers
+from .. import http_calls, state_readers
 from ..addresses import Address
 from ..entry_vms import EntryVm
 from ..errors import Step, StepError
 from ..flow_balancers import FlowBalancer
 from ..flow_settings import PacketVmSettings
-from ..http_calls import HttpReply
-from ..http_services import HttpRequest, HttpResponse
+from ..http_messages import HttpReply, HttpRequest
+from ..http_services import HttpResponse
 from ..peer_groups import PeerGroup
-from ..platform import stores
 from ..platform.entries import ROUTES_KEY, SERVER_PREFIX
 from ..platform.stores import StoreReader
-from ..published_states import StatePublisher
+from ..state_publishers import StatePublisher
 from ..state_readers import StateReader
 from .packet_stores import ERA_HEADER, PacketStore, StoreCopy
 from .virtual_loops import run_virtually
@@ -272,7 +271,7 @@
         """Runs until the end of the observed time."""
         make_client = self._network.make_client
         with (
-            mock.patch.object(stores, "HttpClient", make_client),
+            mock.patch.object(http_calls, "HttpClient", make_client),
             mock.patch.object(state_readers, "HttpClient", make_client),
         ):
             self._fill_store()
--- a/marjoramford/state_readers.py
+++ b/marjoramford/state_readers.py
@@ -13,11 +13,13 @@
 from .errors import Step, StepError
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
-from .http_calls import HttpClient, HttpReply
+from .http_calls import HttpClient
+from .http_messages import HttpReply
 from .json_bodies import decode_json
 from .logs import LogEvent, log_event
 from .peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
-from .published_states import StatePublisher, apply_state, decode_state
+from .published_states import apply_state, decode_state, make_question
+from .state_publishers import StatePublisher
 
 logger = logging.getLogger(__name__)
 
@@ -66,9 +68,10 @@
 
     async def run(self) -> None:
         """Reads in a loop until cancelled."""
-        match await self._platform.preload():
-            case Err(error):
-                self._record_platform_failure(error)
+        if not (self._balancer.server_list.loaded or self._group.platform_failures):
+            match await self._platform.preload():
+                case Err(error):
+                    self.record_platform_failure(error)
         while True:
             now = time.monotonic()
             match self._group.choose_source(now):
@@ -91,9 +94,10 @@
                     self._publisher.notify()
                     await asyncio.sleep(self._settings.reads.settle_seconds)
             case Err(error):
-                self._record_platform_failure(error)
+                self.record_platform_failure(error)
 
-    def _record_platform_failure(self, error: StepError) -> None:
+    def record_platform_failure(self, error: StepError) -> None:
+        """Records a failed read, which begins a backoff."""
         if not self._group.platform_failures:
             log_event(logger, LogEvent.PLATFORM_UNREACHABLE, error=error)
         self._group.record_platform_read(False, time.monotonic())
@@ -127,21 +131,9 @@
                 self._record_peer_failure(address, error)
 
     def _make_question(self, wait: float, shares_evidence: bool = False) -> str:
-        """Returns the request target that asks a peer for changes.
-
-        The eras are sent even if they are 0: their absence shows a follower of an older build.
-        Entries after the version up to which the drains are known are asked for again, since the
-        drains of an answer begin at the same version. The whole routes are asked for again if the
-        limits of cold servers are missing and the peer may have them.
-        """
-        version = self._balancer.server_list.known_version
         routes = None if self._asks_whole_routes else self._balancer.routes
-        routes_version, routes_era = routes.order if routes else (0, 0)
-        return (
-            f"/v1/published?after={version.revision}&era={version.era}&routes={routes_version}"
-            f"&routes_era={routes_era}&wait={wait}&compress=true"
-            + (f"&evidence={self._balancer.verdicts.version}" if shares_evidence else "")
-        )
+        evidence = self._balancer.verdicts.version if shares_evidence else None
+        return make_question(self._balancer, routes, wait, evidence)
 
     def _apply_response(
         self, address: Address, body: bytes, now: float, evidence_asked_at: float | None = None
--- a/tests/restore_models.py
+++ b/tests/restore_models.py
@@ -19,8 +19,7 @@
 
 from marjoramford.addresses import Address
 from marjoramford.errors import Step, StepError
-from marjoramford.http_calls import HttpReply
-from marjoramford.http_services import HttpRequest
+from marjoramford.http_messages import HttpReply, HttpRequest
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.platform.stores import StoreReader
 from marjoramford.state_versions import NOTHING_READ
@@ -212,7 +211,7 @@
     def __init__(self, monkeypatch):
         clock = Clock()
         sleeper = SimpleNamespace(sleep=_return_at_once)
-        for module in ("platform.stores", "state_readers", "published_states"):
+        for module in ("platform.stores", "state_readers", "state_publishers"):
             monkeypatch.setattr(f"marjoramford.{module}.time", clock)
         monkeypatch.setattr("marjoramford.state_readers.asyncio", sleeper)
         self._vm = PacketVm(SETTINGS, None, StoreReader, lambda: None)
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -38,8 +38,9 @@
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
 from marjoramford.peer_groups import PeerGroup
-from marjoramford.published_states import StatePublisher, apply_state, decode_state
+from marjoramford.published_states import apply_state, decode_state
 from marjoramford.routes import RouteTable, WarmupLimit
+from marjoramford.state_publishers import StatePublisher
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, FlowWorld, record, route_table
 from .flow_worlds import snapshot as whole_list
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -13,7 +13,8 @@
 from marjoramford.addresses import Address
 from marjoramford.errors import Step
 from marjoramford.http_calls import HttpClient
-from marjoramford.http_services import HttpRequest, HttpResponse
+from marjoramford.http_messages import HttpRequest
+from marjoramford.http_services import HttpResponse
 from marjoramford.packet_daemons import PacketVm, _make_collector
 from marjoramford.packets import FlowKey
 from marjoramford.published_states import PublishedState, encode_state
--- a/tests/test_followed_outages.py
+++ b/tests/test_followed_outages.py
@@ -11,10 +11,11 @@
 import msgspec
 import pytest
 
-from marjoramford import published_states
+from marjoramford import state_publishers
 from marjoramford.flow_settings import ListSettings
 from marjoramford.packets import Forward
-from marjoramford.published_states import StatePublisher, apply_state, decode_state
+from marjoramford.published_states import apply_state, decode_state
+from marjoramford.state_publishers import StatePublisher
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, upsert
 
@@ -36,7 +37,7 @@
     def publish(self, source, revision=100):
         """Returns the encoded state of an entry VM for a follower that has a revision."""
         clock = SimpleNamespace(monotonic=lambda: source.now)
-        self._monkeypatch.setattr(published_states, "time", clock)
+        self._monkeypatch.setattr(state_publishers, "time", clock)
         publisher = StatePublisher(source.balancer)
         return asyncio.run(publisher.answer(revision, 1, 0.0, era=0, routes_era=0))
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -11,9 +11,11 @@
 import pytest
 
 LIST_MODULES = """
-import dataclasses, json, sys
-from marjoramford.platform.__main__ import import_without_tls
-import_without_tls()
+import dataclasses, importlib, json, sys
+from marjoramford.platform.entry_points import LATER_MODULES, hide_tls
+with hide_tls():
+    for name in LATER_MODULES:
+        importlib.import_module(name, "marjoramford")
 modules = {name: module for name, module in sys.modules.items() if module is not None}
 generated = [
     f"{name}.{cls.__name__}"
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -13,13 +13,15 @@
 
 from marjoramford.addresses import Address
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_services import HttpRequest, HttpResponse
+from marjoramford.http_messages import HttpRequest
+from marjoramford.http_services import HttpResponse
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.peer_groups import FollowPeer
-from marjoramford.published_states import PublishedState, StatePublisher, apply_state, decode_state
+from marjoramford.published_states import PublishedState, apply_state, decode_state
 from marjoramford.records import VmRecord
 from marjoramford.routes import Route, RouteChanges, RouteTable, WarmupLimit
 from marjoramford.server_lists import ListChanges
+from marjoramford.state_publishers import StatePublisher
 from marjoramford.state_versions import StateVersion
 from marjoramford.zone_drains import ZoneDrain
 
--- a/tests/test_platform_borders.py
+++ b/tests/test_platform_borders.py
@@ -15,14 +15,16 @@
 from marjoramford.entry_vms import EntryVm
 from marjoramford.errors import Step
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient, HttpReply
-from marjoramford.http_services import HttpRequest, HttpResponse, serve_http
+from marjoramford.http_calls import HttpClient
+from marjoramford.http_messages import HttpReply, HttpRequest
+from marjoramford.http_services import HttpResponse, serve_http
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.peer_groups import PeerGroup
 from marjoramford.platform.entries import StoreItem, decode_routes, decode_server
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import PublishedState, StatePublisher
+from marjoramford.published_states import PublishedState
 from marjoramford.records import VmRecord
+from marjoramford.state_publishers import StatePublisher
 from marjoramford.state_readers import MemberExchange, StateReader, merge_members
 
 from .flow_worlds import SETTINGS, FlowWorld, record
--- a/tests/test_published_states.py
+++ b/tests/test_published_states.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from marjoramford.http_calls import MAX_BODY_BYTES
+from marjoramford.http_messages import MAX_REPLY_BODY_BYTES
 from marjoramford.published_states import PublishedState, decode_state, encode_state
 from marjoramford.routes import Route, RouteChanges, WeightedService
 
@@ -60,7 +60,7 @@
         encode_state(grown_state(), True)[:-20],
         encode_state(grown_state(), True)[20:],
         zlib.compress(b"[]" * 2000),
-        zlib.compress(b" " * (MAX_BODY_BYTES + 1)),
+        zlib.compress(b" " * (MAX_REPLY_BODY_BYTES + 1)),
     ],
 )
 def test_a_damaged_or_too_long_state_is_an_error(body):
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
-from marjoramford import published_states
+from marjoramford import state_publishers
 from marjoramford.events import AnswerReceived, ProbeFailed, VmListRead
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.messages import Answer
-from marjoramford.published_states import StatePublisher, apply_state, decode_state
+from marjoramford.published_states import apply_state, decode_state
 from marjoramford.records import VmRecord
+from marjoramford.state_publishers import StatePublisher
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, snapshot
 from .token_cores import NOW, SERVICE, ZONE, TokenCore, dispatches, messages
@@ -44,7 +45,7 @@
         peer.confirm()
     peer.apply(snapshot(record("s-1"), record("s-2", 2), revision=50, era=1))
     assert not peer.server("s-1").accepts_work
-    monkeypatch.setattr(published_states, "time", SimpleNamespace(monotonic=lambda: peer.now))
+    monkeypatch.setattr(state_publishers, "time", SimpleNamespace(monotonic=lambda: peer.now))
     body = asyncio.run(StatePublisher(peer.balancer).answer(0, 0, 0.0, era=0, routes_era=0))
     started = FlowBalancer(SETTINGS, Random(1), START)
     assert apply_state(decode_state(body).unwrap(), started, START)
--- a/tests/test_restore_borders.py
+++ b/tests/test_restore_borders.py
@@ -14,12 +14,13 @@
 from marjoramford.addresses import Address
 from marjoramford.errors import Step
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient, HttpReply
-from marjoramford.http_services import HttpRequest
+from marjoramford.http_calls import HttpClient
+from marjoramford.http_messages import HttpReply, HttpRequest
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import PublishedState, StatePublisher, encode_state
+from marjoramford.published_states import PublishedState, encode_state
 from marjoramford.server_lists import ListChanges
+from marjoramford.state_publishers import StatePublisher
 from marjoramford.state_readers import StateReader
 from marjoramford.state_versions import NOTHING_READ, StateVersion
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -14,10 +14,10 @@
 from marjoramford.errors import Step, StepError
 from marjoramford.flow_balancers import FlowBalancer
 from marjoramford.flow_labels import derive_label
-from marjoramford.http_calls import HttpReply
+from marjoramford.http_messages import HttpReply
 from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import StatePublisher
+from marjoramford.state_publishers import StatePublisher
 from marjoramford.state_readers import StateReader
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, record, snapshot
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -15,9 +15,10 @@
 from marjoramford.http_services import HttpResponse, serve_http
 from marjoramford.peer_groups import PeerGroup
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import PublishedState, StatePublisher, apply_state
+from marjoramford.published_states import PublishedState, apply_state
 from marjoramford.routes import RouteTable
 from marjoramford.standins.packet_stores import PacketStore
+from marjoramford.state_publishers import StatePublisher
 from marjoramford.state_readers import MemberExchange, StateReader
 from marjoramford.state_versions import NOTHING_READ
 
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -16,8 +16,8 @@
 from marjoramford.addresses import Address
 from marjoramford.errors import Step, StepError
 from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient, HttpReply
-from marjoramford.http_services import HttpRequest
+from marjoramford.http_calls import HttpClient
+from marjoramford.http_messages import HttpReply, HttpRequest
 from marjoramford.logs import LogEvent
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.platform.stores import StoreReader
