Entry VMs tell each other their requests in progress under load, and place and refuse flows by them

Cause: an entry VM extrapolated the load of all from its own requests, an eighth of them. Under bursts it refused flows while slots were free and let queues fill, so that nearly every answer missed its target latency.

Change: `peer_loads` and `load_exchanges`: one datagram of about 90 bytes to one of up to seven others every 0.03 s, only while 0.7 of the slots of a service are taken. Where all report (fleets of up to eight), flows are placed by the known counts and refused once they would wait too long at every server, the more important routes at longer queues. Larger fleets keep the rule by answer times.

--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/flow_balancers.py
@@ -10,6 +10,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -33,7 +34,8 @@
 from .overload_controls import OverloadControl, are_slots_taken
 from .packet_flows import PacketFlow, PacketFlowTable
 from .packets import DropPacket, FlowKey, Forward, PacketAction, PacketHeader, ResetFlow
-from .placements import choose_server
+from .peer_loads import LoadReport, PeerLoads
+from .placements import choose_server, own_requests
 from .routes import Route, RouteChanges, RouteHistory, RouteTable
 from .server_lists import ServerList
 from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey, Verdicts
@@ -95,6 +97,7 @@
         self.server_list = ServerList(settings.servers)
         self.route_history = RouteHistory(MAX_ROUTE_TABLES)
         self.entry_vm_count = 1
+        self.peer_loads = PeerLoads(settings.load_reports)
         self.verdicts = Verdicts(settings.name, settings.shared_evidence)
         self.counters: Counter[str] = Counter()
         self.opening_latencies = LatencyHistogram()
@@ -354,25 +357,86 @@
 
     def _refuses_for_overload(self, service: str, route: Route, now: float) -> bool:
         control = self._overload_controls.get(service)
-        if control is None or not control.refuses(route, now, self._random):
+        if control is None:
+            return False
+        if self._can_know_all_loads:
+            knows_all = self._knows_all_loads(now)
+            return knows_all and control.refuses_by_loads(route, self._loads(service, now), now)
+        if not control.refuses(route, now, self._random):
             return False
         # Judged again for each flow: slots may have become free since the last tick.
         return self._are_slots_taken(service, now)
 
+    @property
+    def _can_know_all_loads(self) -> bool:
+        """Whether there are few enough entry VMs that all report to each other."""
+        return self.entry_vm_count <= self._settings.load_reports.receivers + 1
+
+    def _knows_all_loads(self, now: float) -> bool:
+        """Whether the requests in progress through all entry VMs are known."""
+        return self.peer_loads.count_reporting(now) + 1 >= self.entry_vm_count
+
+    def _loads(self, service: str, now: float) -> list[float]:
+        """Returns the known requests in progress per slot of the servers that take flows."""
+        return [
+            self._count_known(server, now) / max(1, server.slots)
+            for server in self.server_list.servers.of_service(service)
+            if server.accepts_work and server.unlisted_since is None
+        ]
+
     def _are_slots_taken(self, service: str, now: float) -> bool:
+        return self._are_slots_used(service, 1 + self._settings.overload.queued_share, now)
+
+    def _are_slots_used(self, service: str, share: float, now: float) -> bool:
+        """Whether the requests in progress exceed a share of the slots of a service."""
+        scale = self._extrapolation(now)
         servers = self.server_list.servers.of_service(service)
         return are_slots_taken(
             servers,
-            self.entry_vm_count,
-            self._settings.overload.queued_share,
+            lambda server: self._count_known(server, now) * scale,
+            share - 1,
             self.warmup_limit(service),
             now,
         )
 
+    def _extrapolation(self, now: float) -> float:
+        """Returns the factor from the known requests in progress to those of all entry VMs."""
+        known = 1 + self.peer_loads.count_reporting(now)
+        return max(1.0, self.entry_vm_count / known)
+
+    def _make_counter(self, now: float) -> Callable[[BackendServer], int]:
+        """Returns how the placement counts the requests in progress at a server."""
+        if self.peer_loads.count_reporting(now) and self._knows_all_loads(now):
+            return lambda server: self._count_known(server, now)
+        return own_requests
+
+    def _count_known(self, server: BackendServer, now: float) -> int:
+        """Returns the requests in progress through this entry VM and those that report to it."""
+        label = derive_label(server.name, server.incarnation)
+        return server.in_progress + self.peer_loads.count_requests(label, now)
+
+    def make_load_report(self, incarnation: int, now: float) -> LoadReport | None:
+        """Returns the report to other entry VMs that is due, or None."""
+        counts = {
+            derive_label(server.name, server.incarnation): server.in_progress
+            for server in self.server_list.servers.values()
+            if server.in_progress
+        }
+        loaded_share = self._settings.load_reports.loaded_share
+        loaded = any(
+            self._are_slots_used(service, loaded_share, now) for service in self._overload_controls
+        )
+        return self.peer_loads.make_report(self._settings.name, incarnation, counts, loaded, now)
+
     def _update_overload_controls(self, now: float) -> None:
         for service, control in self._overload_controls.items():
             was_refusing = control.level > 0
-            control.update(self._are_slots_taken(service, now), now)
+            if not self._can_know_all_loads:
+                control.update(self._are_slots_taken(service, now), now)
+            elif self._knows_all_loads(now):
+                control.update_by_loads(self._loads(service, now))
+            else:
+                control.update_by_loads([])
             if was_refusing != (control.level > 0):
                 log_overload(service, control)
 
@@ -446,6 +510,7 @@
             now,
             self._settings.placement,
             self._random,
+            self._make_counter(now),
         )
         if server is not None:
             self._record_cold_opening(server, now)
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/flow_settings.py
@@ -151,6 +151,25 @@
     min_route_answers: Annotated[int, Meta(ge=1, le=10_000)] = 20
 
 
+class LoadReportSettings(_Section):
+    """Reports of the requests in progress to other entry VMs, while a service is under load.
+
+    Attributes:
+        receivers: entry VMs that get the reports; eight entry VMs are told by all of each other.
+        interval_seconds: time between two reports, in seconds. With seven receivers of 90 bytes
+            each it costs 3.2 KB/s.
+        ttl_seconds: reports lapse after this time, in seconds; two may be lost.
+        loaded_share: requests in progress from which on reports are sent, as a share of the slots.
+        linger_seconds: reports go on for this long after the load has fallen, in seconds.
+    """
+
+    receivers: Annotated[int, Meta(ge=0, le=100)] = 7
+    interval_seconds: Seconds = 0.2
+    ttl_seconds: Seconds = 0.7
+    loaded_share: Share = 0.7
+    linger_seconds: Seconds = 1.0
+
+
 class ColdStartSettings(_Section):
     """Limit of the flows that open at a cold server, where the operator sets one for its service.
 
@@ -270,6 +289,8 @@
         ready_address: TCP address for readiness probes and metrics.
         control_address: TCP address for other entry VMs and operators.
         platform: HTTP address of the platform's store.
+        load_port: UDP port for reports of the load between entry VMs, the same at all of them; 0 if
+            none are sent.
         seeds: control addresses of some entry VMs to join through; any of them may be down.
         link_mbps: bandwidth of this entry VM's own link, in Mbit/s; 0 if it is not known. Entry VMs
             with wide links read the platform for the others.
@@ -284,6 +305,7 @@
     ready_address: HostPort
     control_address: HostPort
     platform: HostPort
+    load_port: Annotated[int, Meta(ge=0, le=65_535)] = 0
     seeds: tuple[HostPort, ...] = ()
     link_mbps: Annotated[float, Meta(ge=0, le=1e7)] = 0.0
     flow_max_seconds: Seconds = 60.0
@@ -293,6 +315,7 @@
     shared_evidence: SharedEvidenceSettings = SharedEvidenceSettings()
     placement: PlacementSettings = PlacementSettings()
     overload: OverloadSettings = OverloadSettings()
+    load_reports: LoadReportSettings = LoadReportSettings()
     cold_starts: ColdStartSettings = ColdStartSettings()
     servers: ListSettings = ListSettings()
     reads: ReadSettings = ReadSettings()
--- a/marjoramford/overload_controls.py
+++ b/marjoramford/overload_controls.py
@@ -6,14 +6,17 @@
 because an open flow must not be reset while its server lives. New flows are refused instead, those
 of the least important routes first, at the rate that keeps answers near the target latency.
 
-The evidence is the time until callers acknowledge answers. A full server turns requests away at
-once, so quick answers prove nothing: the slowest of the latest answers of each server counts. The
-median over the servers is taken, so that a few slow servers are no overload. Slow answers of a
-service whose slots are free are no overload either.
+In a small fleet the requests in progress through all entry VMs are known (`peer_loads`), and with
+them the queues of the servers: a flow is refused if it would wait too long at every server.
+
+In a larger fleet the evidence is the time until callers acknowledge answers. A full server turns
+requests away at once, so quick answers prove nothing: the slowest of the latest answers of each
+server counts. The median over the servers is taken, so that a few slow servers are no overload.
+Slow answers of a service whose slots are free are no overload either.
 """
 
 from collections import Counter, defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 import msgspec
@@ -29,6 +32,19 @@
 # Work of the longest requests of the deployments (5 to 72 ms). The openings of a limited server
 # occupy at most this time each; a longer time counts more slots and so refuses less.
 LONGEST_WORK_SECONDS = 0.072
+# Share of the target latency that an answer may take with its wait in a queue, for the least
+# important routes and for each priority above; the rest is for the spread of the work.
+QUEUED_SHARE = 0.3
+QUEUED_SHARE_STEP = 0.8
+UNLOADED_WEIGHT = 0.05
+# Weight of a tick in the moving average of the load; the average covers about three seconds.
+LOAD_WEIGHT = 0.03
+# Requests per slot by which this average must exceed the limit to count as overload that lasts.
+PERSISTENT_MARGIN = 0.1
+# Requests per slot by which queues may be longer before: short waves end by themselves.
+TRANSIENT_MARGIN = 1.5
+# Requests per slot by which the mean of all servers must exceed the limit.
+MEAN_MARGIN = 0.25
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -112,6 +128,10 @@
         self._answers: defaultdict[str, deque[Answer]] = defaultdict(_make_latest_answers)
         self._activity = RouteActivity(settings.activity_seconds)
         self._latency_share = 0.0
+        # Requests per slot; infinity while they are not known.
+        self._load = float("inf")
+        # Moving average of the share of the target latency that answers take without queues.
+        self._unloaded_share = 0.0
         self._level = 0.0
 
     @property
@@ -126,7 +146,11 @@
 
     def record_answer(self, server: str, route: Route, seconds: float, now: float) -> None:
         """Records the time until an answer to a request that was not retransmitted."""
-        self._answers[server].append(Answer(now, seconds / route.target_seconds))
+        latency_share = seconds / route.target_seconds
+        self._answers[server].append(Answer(now, latency_share))
+        if self._load < 1:
+            average = self._unloaded_share or latency_share
+            self._unloaded_share = average + UNLOADED_WEIGHT * (latency_share - average)
         self._activity.record(route, now)
 
     def discard_answers(self) -> None:
@@ -153,11 +177,54 @@
 
     def refuses(self, route: Route, now: float, random: Random) -> bool:
         """Returns whether a new flow of a route is refused while the slots are taken."""
-        settings = self._settings
-        if not self._level or self._activity.count(route, now) < settings.min_route_answers:
+        if not self._level or not self._is_regular(route, now):
             return False
-        rank = self._activity.count_less_important(route, settings.min_route_answers, now)
-        return random.random() < self._level - rank
+        return random.random() < self._level - self._rank(route, now)
+
+    def update_by_loads(self, loads: Sequence[float]) -> None:
+        """Sets the refusal level to 1 or 0 by the loads of the servers; see `refuses_by_loads`."""
+        self._latency_share = 0.0
+        if not loads:
+            self._load = float("inf")
+        elif self._load == float("inf"):
+            self._load = _mean(loads)
+        else:
+            self._load += LOAD_WEIGHT * (_mean(loads) - self._load)
+        self._level = 1.0 if is_queue_full(loads, self._queue_limit(0)) else 0.0
+
+    def refuses_by_loads(self, route: Route, loads: Sequence[float], now: float) -> bool:
+        """Returns whether a new flow of a route is refused, where the loads of servers are known.
+
+        Each priority that is more important is refused at longer queues.
+
+        Args:
+            route: the flow's route.
+            loads: requests in progress per slot, of each server that accepts flows.
+            now: time on the monotonic clock, in seconds.
+        """
+        if not self._is_regular(route, now):
+            return False
+        limit = self._queue_limit(self._rank(route, now))
+        if self._load < limit + PERSISTENT_MARGIN:
+            limit += TRANSIENT_MARGIN
+        return is_queue_full(loads, limit)
+
+    def _queue_limit(self, rank: int) -> float:
+        """Returns the requests per slot from which on flows of a route are refused.
+
+        Args:
+            rank: number of less important priorities that routes with regular traffic have.
+        """
+        limit = 1 + self._settings.queued_share * (1 + rank)
+        if not self._unloaded_share:
+            return limit
+        return max(limit, (QUEUED_SHARE + rank * QUEUED_SHARE_STEP) / self._unloaded_share)
+
+    def _is_regular(self, route: Route, now: float) -> bool:
+        return self._activity.count(route, now) >= self._settings.min_route_answers
+
+    def _rank(self, route: Route, now: float) -> int:
+        return self._activity.count_less_important(route, self._settings.min_route_answers, now)
 
     def _expire_answers(self, since: float) -> None:
         for server, answers in list(self._answers.items()):
@@ -175,21 +242,34 @@
         return slowest[len(slowest) // 2]
 
 
+def is_queue_full(loads: Sequence[float], limit: float) -> bool:
+    """Returns whether another request would wait too long at every server.
+
+    The loads change between two reports, so the servers must exceed the limit on average too.
+
+    Args:
+        loads: requests in progress per slot, of each server that accepts flows.
+        limit: load from which on a request waits too long at a server.
+    """
+    if not loads:
+        return False
+    return min(loads) >= limit and _mean(loads) >= limit + MEAN_MARGIN
+
+
 def are_slots_taken(
     servers: Iterable[BackendServer],
-    entry_vms: int,
+    count_requests: Callable[[BackendServer], float],
     queued_share: float,
     warmup_limit: float = 0.0,
     now: float = 0.0,
 ) -> bool:
     """Returns whether the slots of a service are taken and requests wait for them.
 
-    The requests of all entry VMs are extrapolated from those in progress through this one. Servers
-    of drained zones do not count: their slots are of no use to new flows.
+    Servers of drained zones do not count: their slots are of no use to new flows.
 
     Args:
         servers: the servers of the service.
-        entry_vms: entry VMs that share the load, with this one.
+        count_requests: returns the requests in progress at a server through all entry VMs.
         queued_share: waiting requests that are required, as a share of the slots.
         warmup_limit: flows per second that may open at a cold server; 0 if there is no limit.
         now: time on the monotonic clock, in seconds.
@@ -197,11 +277,15 @@
     listed = [
         server for server in servers if server.unlisted_since is None and not server.zone_drained
     ]
-    in_progress = sum(server.in_progress for server in listed) * entry_vms
+    in_progress = sum(map(count_requests, listed))
     slots = sum(_count_slots(server, warmup_limit, now) for server in listed)
     return in_progress > (1 + queued_share) * slots
 
 
+def _mean(values: Sequence[float]) -> float:
+    return sum(values) / len(values)
+
+
 def _count_slots(server: BackendServer, warmup_limit: float, now: float) -> float:
     """Returns the slots of a server; of a cold one only as many as its limit can occupy."""
     if not is_limited(server, warmup_limit, now):
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/packet_daemons.py
@@ -26,6 +26,7 @@
 from .flow_settings import PacketVmSettings
 from .http_messages import HttpRequest
 from .http_services import HttpResponse, serve_http
+from .load_exchanges import LoadExchange
 from .logs import LogEvent, log_event
 from .packet_sockets import PacketSocket
 from .packets import PacketCodec
@@ -128,6 +129,8 @@
             await serve_http(Address.parse(settings.control_address), self._handle_request),
         ]
         jobs = [self._reader.run(), self._exchange.run(), self._run_timer(packets)]
+        if settings.load_port:
+            jobs.append(LoadExchange(settings, self.balancer, self._group).run())
         if self._evidence_exchange is not None:
             jobs.append(self._evidence_exchange.run())
         tasks = [asyncio.create_task(run_guarded(job, self._stop_after_failure)) for job in jobs]
--- a/marjoramford/placements.py
+++ b/marjoramford/placements.py
@@ -5,7 +5,7 @@
 callers stay; callers that move from one zone to another.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 from .backend_servers import BackendServer
@@ -13,6 +13,11 @@
 from .flow_settings import PlacementSettings
 
 
+def own_requests(server: BackendServer) -> int:
+    """Returns the requests in progress at a server through this entry VM."""
+    return server.in_progress
+
+
 def choose_server(
     servers: Iterable[BackendServer],
     avoided: Sequence[BackendServer],
@@ -20,6 +25,7 @@
     now: float,
     settings: PlacementSettings,
     random: Random,
+    count_requests: Callable[[BackendServer], int] = own_requests,
 ) -> BackendServer | None:
     """Returns the server at which a flow opens; None if no server accepts new flows.
 
@@ -35,13 +41,16 @@
         now: time on the monotonic clock, in seconds.
         settings: weights and margins.
         random: breaks ties between equal estimates.
+        count_requests: returns the known requests in progress at a server.
     """
     usable = [server for server in servers if server.accepts_work]
     candidates = _preferred_servers([server for server in usable if server not in avoided], now)
     candidates = candidates or _preferred_servers(usable, now)
     if not candidates:
         return None
-    scores = [_estimate_load(server, zone, now, settings) for server in candidates]
+    scores = [
+        _estimate_load(server, count_requests(server), zone, now, settings) for server in candidates
+    ]
     return choose_near_lowest(candidates, scores, settings.tie_tolerance, random)
 
 
@@ -52,10 +61,10 @@
 
 
 def _estimate_load(
-    server: BackendServer, zone: str, now: float, settings: PlacementSettings
+    server: BackendServer, requests: int, zone: str, now: float, settings: PlacementSettings
 ) -> float:
-    """Returns the estimated share of busy slots, from this entry VM's own flows, plus penalties."""
-    busy = server.in_progress + settings.open_flow_weight * server.open_flows
+    """Returns the estimated share of busy slots, from the known requests, plus penalties."""
+    busy = requests + settings.open_flow_weight * server.open_flows
     score = busy / max(1, server.slots)
     if server.zone != zone:
         score += settings.other_zone_penalty
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -10,6 +10,7 @@
 from ..flow_settings import PacketVmSettings, PeerSettings, SharedEvidenceSettings
 from ..packets import FlowKey, Forward, ResetFlow
 from ..peer_groups import ZoneMembers
+from ..peer_loads import choose_receivers
 from ..platform.packets import PlatformCodec
 from .packet_catalogues import PacketCatalogue
 from .rotations import Rotation
@@ -215,6 +216,7 @@
         self.balancer = self._make_balancer(self._settings, self._random, self._host.now)
         self._call_periodically(STORE_READ_INTERVAL_SECONDS, self._read_store)
         self._call_periodically(TICK_INTERVAL_SECONDS, self._tick)
+        self._host.after(Random(self.name).random(), self._if_same_boot(self._report_load))
         self._members = None
         # The time of the exchanges differs between entry VMs, but not between runs.
         first_exchange = Random(self.name).uniform(0.0, MEMBER_EXCHANGE_SECONDS)
@@ -263,6 +265,19 @@
         if self._host.evidence is not None:
             self._host.evidence.advance(self)
 
+    def _report_load(self) -> None:
+        now = self._host.now
+        vms = {vm.name: vm for vm in self._host.vms if vm.balancer is not None}
+        receivers = choose_receivers(self.name, vms, self._settings.load_reports.receivers)
+        pause = self._settings.load_reports.interval_seconds / max(1, len(receivers))
+        self._host.after(pause, self._if_same_boot(self._report_load))
+        if not receivers or self.is_frozen:
+            return
+        report = self.balancer.make_load_report(self.boots, now)
+        if report is not None:
+            receiver = receivers[report.sequence % len(receivers)]
+            vms[receiver].balancer.peer_loads.record(report, now)
+
     def _reset(self, flow: FlowKey, acknowledged: int) -> None:
         datagram, address = self._codec.encode_reset(flow, acknowledged)
         self._host.send_to_caller(self, datagram, address)
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -38,6 +38,7 @@
 from marjoramford.packet_daemons import PacketVm
 from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
 from marjoramford.peer_groups import PeerGroup
+from marjoramford.placements import own_requests
 from marjoramford.published_states import apply_state, decode_state
 from marjoramford.routes import RouteTable, WarmupLimit
 from marjoramford.state_publishers import StatePublisher
@@ -430,10 +431,10 @@
 def test_the_slots_of_a_cold_server_count_by_what_it_may_get():
     servers = list(cold_world(servers=2).balancer.server_list.servers.values())
     servers[0].in_progress = 3
-    assert not are_slots_taken(servers, 1, 0.0)
-    assert not are_slots_taken(servers, 1, 0.0, 100.0, START)
-    assert are_slots_taken(servers, 1, 0.0, 10.0, START)
-    assert not are_slots_taken(servers, 1, 0.0, 10.0, START + 61.0)
+    assert not are_slots_taken(servers, own_requests, 0.0)
+    assert not are_slots_taken(servers, own_requests, 0.0, 100.0, START)
+    assert are_slots_taken(servers, own_requests, 0.0, 10.0, START)
+    assert not are_slots_taken(servers, own_requests, 0.0, 10.0, START + 61.0)
 
 
 def test_the_first_refusal_is_logged_and_the_dump_shows_the_share(caplog):
--- a/tests/test_drained_placement.py
+++ b/tests/test_drained_placement.py
@@ -7,6 +7,7 @@
 
 from marjoramford.overload_controls import are_slots_taken
 from marjoramford.packets import DropPacket, Forward, ResetFlow
+from marjoramford.placements import own_requests
 
 from .flow_worlds import SETTINGS, FlowWorld, drain, record, upsert
 
@@ -166,8 +167,8 @@
     world = zoned_world("a", "b")
     near, far = world.server("s-1"), world.server("s-2")
     far.in_progress = 4
-    assert not are_slots_taken([near, far], 1, 0.5)
+    assert not are_slots_taken([near, far], own_requests, 0.5)
     world.apply(drain("a", 101))
-    assert are_slots_taken([near, far], 1, 0.5)
+    assert are_slots_taken([near, far], own_requests, 0.5)
     near.in_progress, far.in_progress = 9, 1
-    assert not are_slots_taken([near, far], 1, 0.5)
+    assert not are_slots_taken([near, far], own_requests, 0.5)
--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -73,7 +73,7 @@
         value = values.get(found[1])
         return found[2].replace("{{.}}", json.dumps(value)) if value else ""
 
-    template = re.sub(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", render_section, template, flags=re.S)
+    template = re.sub(r"\{\{#([a-z_.0]+)\}\}(.*?)\{\{/\1\}\}", render_section, template, flags=re.S)
     return re.sub(
         r"\{\{([a-z_.]+)(?:\|json)?\}\}", lambda found: json.dumps(values[found[1]]), template
     )
@@ -91,6 +91,7 @@
         "listen.ready": "10.0.0.1:2",
         "listen.control": "10.0.0.1:3",
         "platform.address": "10.0.0.2:4",
+        "internal_ports.0": 7720,
         "seeds": ["10.0.0.1:3"],
         "bounds.flow_max_s": 60,
         "bounds.grace_s": 6,
@@ -104,6 +105,7 @@
     assert settings.link_mbps == (link_mbps or 0.0)
     assert settings.cold_starts.overage == (overage or 1.5)
     assert settings.cold_starts.slack == (slack or 5.0)
+    assert settings.load_port == 7720
     assert settings.name == "front-a-1"
     assert settings.shared_evidence.enabled is (evacuation_ms is not None)
     assert settings.stop.grace_seconds == 6.0
--- a/tests/test_overload_controls.py
+++ b/tests/test_overload_controls.py
@@ -20,7 +20,8 @@
 HOLDS = Route(ROUTE_IP, ROUTE_PORT + 1, SERVICES, priority=1, target_seconds=0.2)
 TICK_SECONDS = 0.1
 QUICK_SECONDS = 0.007
-ENTRY_VMS = 8
+# More than report their loads to each other.
+ENTRY_VMS = 9
 SETTINGS = OverloadSettings()
 
 
@@ -47,9 +48,12 @@
                 for each in answer_seconds(number, tick):
                     for route in routes:
                         self.control.record_answer(server.name, route, each, self.now)
-            taken = are_slots_taken(self.all, ENTRY_VMS, SETTINGS.queued_share)
+            taken = are_slots_taken(self.all, self._extrapolate, SETTINGS.queued_share)
             self.control.update(taken, self.now)
 
+    def _extrapolate(self, server):
+        return server.in_progress * ENTRY_VMS
+
     def refused_share(self, route):
         random = Random(1)
         return sum(self.control.refuses(route, self.now, random) for _ in range(1000)) / 1000
--- /dev/null
+++ b/tests/test_peer_loads.py
@@ -0,0 +1,163 @@
+"""Entry VMs that report their requests in progress refuse flows only while all queues are long.
+
+Load pattern: a burst of callers fills the queues of all servers. Each entry VM sees a part of it.
+"""
+
+import pytest
+
+from marjoramford.flow_settings import LoadReportSettings, OverloadSettings
+from marjoramford.load_exchanges import LoadExchange
+from marjoramford.overload_controls import OverloadControl, is_queue_full
+from marjoramford.packets import Forward, ResetFlow
+from marjoramford.peer_loads import LoadReport, PeerLoads, choose_receivers
+from marjoramford.routes import Route, RouteTable, WeightedService
+
+from .flow_worlds import ROUTE_IP, ROUTE_PORT, START, FlowWorld, record
+from .test_platform_borders import own_group
+
+SERVICES = (WeightedService("booking", 1.0),)
+BOARDS = Route(ROUTE_IP, ROUTE_PORT, SERVICES, priority=2, target_seconds=0.25)
+HOLDS = Route(ROUTE_IP, ROUTE_PORT + 1, SERVICES, priority=1, target_seconds=0.25)
+SETTINGS = LoadReportSettings()
+
+
+def report(sender="front-2", sequence=1, incarnation=1, **counts):
+    return LoadReport(sender, incarnation, sequence, {int(k[1:]): v for k, v in counts.items()})
+
+
+def test_reports_add_up_and_lapse():
+    loads = PeerLoads(SETTINGS)
+    assert loads.record(report(s7=2), START)
+    assert loads.record(report("front-3", s7=1, s8=4), START + 0.5)
+    assert (loads.count_reporting(START + 0.5), loads.count_requests(7, START + 0.5)) == (2, 3)
+    late = START + SETTINGS.ttl_seconds + 0.1
+    assert (loads.count_reporting(late), loads.count_requests(7, late)) == (1, 1)
+
+
+def test_an_earlier_report_of_a_sender_changes_nothing():
+    """Datagrams may overtake each other, and a restarted entry VM counts anew."""
+    loads = PeerLoads(SETTINGS)
+    loads.record(report(sequence=5, s7=2), START)
+    assert not loads.record(report(sequence=4, s7=9), START)
+    assert not loads.record(report(sequence=5, s7=9), START)
+    assert loads.record(report(incarnation=2, sequence=1, s7=1), START)
+    assert not loads.record(report(incarnation=1, sequence=9, s7=9), START)
+    assert loads.count_requests(7, START) == 1
+
+
+def test_reports_are_made_only_under_load_and_for_some_time_after_it():
+    loads = PeerLoads(SETTINGS)
+    assert loads.make_report("front-1", 1, {7: 1}, False, START) is None
+    assert loads.make_report("front-1", 1, {7: 1}, True, START).counts == {7: 1}
+    assert loads.make_report("front-1", 1, {}, False, START + 0.5).sequence == 2
+    assert loads.make_report("front-1", 1, {}, False, START + 1.1) is None
+
+
+def test_each_entry_vm_of_a_large_fleet_gets_as_many_reports():
+    names = [f"front-{number}" for number in range(40)]
+    receivers = [name for own in names for name in choose_receivers(own, names, 7)]
+    assert {receivers.count(name) for name in names} == {7}
+    assert set(choose_receivers("front-0", names[:8], 7)) == set(names[1:8])
+
+
+@pytest.mark.parametrize(
+    ("loads", "full"),
+    [
+        ([1.5, 1.5, 2.5], True),
+        ([1.5, 1.5, 1.5], False),
+        ([1.0, 3.0, 3.0], False),
+        ([], False),
+    ],
+)
+def test_queues_are_full_if_all_are_long(loads, full):
+    assert is_queue_full(loads, 1.5) == full
+
+
+def test_the_less_important_route_is_refused_at_shorter_queues():
+    control = OverloadControl(OverloadSettings())
+    control.update_by_loads([0.5])
+    for _ in range(100):
+        control.record_answer("s-1", BOARDS, 0.06, START)
+        control.record_answer("s-1", HOLDS, 0.06, START)
+    for _ in range(100):
+        control.update_by_loads([6.0])
+    for load, boards, holds in ((1.5, False, False), (2.0, True, False), (5.0, True, True)):
+        assert control.refuses_by_loads(BOARDS, [load], START) == boards
+        assert control.refuses_by_loads(HOLDS, [load], START) == holds
+
+
+def test_a_wave_is_allowed_longer_queues_than_overload_that_lasts():
+    control = OverloadControl(OverloadSettings())
+    control.update_by_loads([0.5])
+    for _ in range(100):
+        control.record_answer("s-1", BOARDS, 0.1, START)
+    assert not control.refuses_by_loads(BOARDS, [3.0], START)
+    assert control.refuses_by_loads(BOARDS, [3.5], START)
+    for _ in range(100):
+        control.update_by_loads([2.5])
+    assert control.refuses_by_loads(BOARDS, [2.0], START)
+
+
+def test_quick_refusals_of_full_servers_do_not_make_queues_seem_short():
+    """Answers count as those of free servers only while the loads are known and low."""
+    control = OverloadControl(OverloadSettings())
+    for loads in ([], [3.0]):
+        control.update_by_loads(loads)
+        for _ in range(100):
+            control.record_answer("s-1", BOARDS, 0.007, START)
+    for _ in range(100):
+        control.update_by_loads([3.0])
+    assert control.refuses_by_loads(BOARDS, [2.0], START)
+
+
+@pytest.fixture
+def busy_world():
+    """An entry VM of eight with regular traffic and two requests in progress of its own."""
+    world = FlowWorld(record("s-1"), record("s-2"))
+    world.balancer.apply_routes(RouteTable(2, (BOARDS,), 15.0))
+    world.balancer.entry_vm_count = 8
+    for _ in range(20):
+        caller = world.caller()
+        caller.establish()
+        caller.request()
+        world.now += 0.01
+        caller.receive_answer()
+    world.advance(0.1)
+    return world
+
+
+def report_to(world, count, senders):
+    balancer = world.balancer
+    own = world.balancer.make_load_report(1, world.now)
+    labels = list(balancer.server_list.labels._servers)
+    for number in range(senders):
+        counts = dict.fromkeys(labels, count)
+        sequence = own.sequence if own else world.balancer.peer_loads._sequence + 1
+        balancer.peer_loads._sequence = sequence + 1
+        balancer.peer_loads.record(
+            LoadReport(f"front-{number + 2}", 1, sequence, counts), world.now
+        )
+
+
+def test_a_flow_is_refused_by_what_the_others_report(busy_world):
+    """None of these requests goes through this entry VM."""
+    report_to(busy_world, 1, 7)
+    assert isinstance(busy_world.caller().open(), ResetFlow)
+    busy_world.now += 0.2
+    report_to(busy_world, 0, 7)
+    assert isinstance(busy_world.caller().open(), Forward)
+
+
+def test_no_flow_is_refused_while_some_do_not_report(busy_world):
+    report_to(busy_world, 9, 6)
+    assert isinstance(busy_world.caller().open(), Forward)
+
+
+@pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x93\xa1a\x01\x01", b"\x94\xa1a\x01\x01\x80"])
+def test_reports_of_unknown_senders_and_malformed_ones_are_rejected(payload):
+    world = FlowWorld(record("s-1"))
+    exchange = LoadExchange.__new__(LoadExchange)
+    exchange._balancer, exchange._group = world.balancer, own_group()
+    assert not exchange.handle(payload, "127.0.0.9")
+    assert world.balancer.counters["load_reports_rejected"] == 1
+    assert world.balancer.peer_loads.count_reporting(world.now) == 0
