--- a/marjoramford/backend_servers.py
+++ b/marjoramford/backend_servers.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from .addresses import Address
-from .failure_detectors import Responsiveness
 from .logs import LogEvent, log_event
 from .records import VmRecord
+from .responsiveness import Responsiveness
 
 if TYPE_CHECKING:
     from .events import LoadReported
--- a/tests/test_failure_detectors.py
+++ b/tests/test_failure_detectors.py
@@ -2,14 +2,9 @@
 
 import pytest
 
-from marjoramford.failure_detectors import (
-    ListStatus,
-    LossDetector,
-    OwnLinkMonitor,
-    Responsiveness,
-    is_dead,
-)
+from marjoramford.failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
 from marjoramford.flow_settings import SilenceSettings
+from marjoramford.responsiveness import Responsiveness
 
 SETTINGS = SilenceSettings()
 LISTED = ListStatus(None, False)
