--- a/marjoramford/commands.py
+++ b/marjoramford/commands.py
@@ -15,22 +15,22 @@
 import msgspec
 from result import Err, Ok
 
-from .addresses import Address
-from .benches import Bench, compare
-from .daemons import EntryVmDaemon
 from .deferrals import deferred
-from .experiments import Experiment, ExperimentPlan
-from .flow_settings import read_packet_settings
-from .logs import configure_logging
-from .packet_experiments import PacketExperiment, PacketPlan
-from .settings import EntryVmSettings, read_settings
+from .evaluations.benches import Bench, compare
+from .evaluations.experiments import Experiment, ExperimentPlan
+from .evaluations.packet_experiments import PacketExperiment, PacketPlan
+from .evaluations.tables import render_demo, render_packet_demo, render_zones
+from .opaque_flows.flow_settings import read_packet_settings
+from .shared.addresses import Address
+from .shared.logs import configure_logging
 from .standins.commands import StandinCommands
 from .standins.demos import Demo
 from .standins.deployments import DEPLOYMENTS, Deployment
 from .standins.faults import FAULT_SETS
 from .standins.packet_faults import PACKET_FAULT_SETS
 from .standins.packet_worlds import PacketWorldSettings
-from .tables import render_demo, render_packet_demo, render_zones
+from .token_flows.daemons import EntryVmDaemon
+from .token_flows.settings import EntryVmSettings, read_settings
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
--- /dev/null
+++ b/marjoramford/evaluations/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, comparisons with baselines, and benchmarks on the stand-ins."""
--- a/marjoramford/benches.py
+++ b/marjoramford/evaluations/benches.py
@@ -18,18 +18,18 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from .addresses import Address
-from .balancers import Balancer, Identity
-from .cores import Core
-from .datagrams import EventProtocol, enlarge_receive_buffer
-from .events import CallerDatagram, CatalogueRead, VmListRead
-from .keys import KeyRing
-from .messages import Open, Request, Send, decode_from_entry_vm, encode
-from .records import CatalogueEntry, KindRules, VmRecord
-from .settings import CoreSettings
-from .standins.deployments import HERITAGE, ServiceShape
-from .standins.schedules import START_EPOCH_SECONDS
-from .standins.worlds import World, WorldSettings
+from ..shared.addresses import Address
+from ..shared.records import CatalogueEntry, KindRules, VmRecord
+from ..standins.deployments import HERITAGE, ServiceShape
+from ..standins.schedules import START_EPOCH_SECONDS
+from ..standins.worlds import World, WorldSettings
+from ..token_flows.balancers import Balancer, Identity
+from ..token_flows.cores import Core
+from ..token_flows.datagrams import EventProtocol, enlarge_receive_buffer
+from ..token_flows.events import CallerDatagram, CatalogueRead, VmListRead
+from ..token_flows.keys import KeyRing
+from ..token_flows.messages import Open, Request, Send, decode_from_entry_vm, encode
+from ..token_flows.settings import CoreSettings
 
 HOST = "127.0.0.1"
 NOW = 1000.0
--- a/marjoramford/cold_start_comparisons.py
+++ b/marjoramford/evaluations/cold_start_comparisons.py
@@ -10,12 +10,12 @@
 
 import msgspec
 
-from .addresses import Address
-from .backend_servers import BackendServer
-from .cold_starts import ColdStartControl
-from .entry_vms import EntryVm
-from .flow_settings import ColdStartSettings, PeerSettings
-from .peer_groups import PeerGroup
+from ..opaque_flows.cold_starts import ColdStartControl
+from ..opaque_flows.flow_settings import ColdStartSettings, PeerSettings
+from ..opaque_flows.peer_groups import PeerGroup
+from ..shared.addresses import Address
+from ..shared.backend_servers import BackendServer
+from ..shared.entry_vms import EntryVm
 
 ZONES = 3
 ZONE = "a"
--- a/marjoramford/comparisons.py
+++ b/marjoramford/evaluations/comparisons.py
@@ -3,11 +3,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from .choosers import POLICIES, OracleChoice
+from ..standins.deployments import DEPLOYMENTS, Traffic
+from ..standins.worlds import WorldSettings
+from ..token_flows.choosers import POLICIES, OracleChoice
+from ..token_flows.settings import CoreSettings
 from .experiments import Experiment, ExperimentPlan, Measures
-from .settings import CoreSettings
-from .standins.deployments import DEPLOYMENTS, Traffic
-from .standins.worlds import WorldSettings
 
 ORACLE = "oracle"
 LOAD = 0.7
--- a/marjoramford/experiments.py
+++ b/marjoramford/evaluations/experiments.py
@@ -8,13 +8,13 @@
 from dataclasses import dataclass, field
 from statistics import median, quantiles
 
-from .errors import InvariantViolationError
-from .standins.caller_sessions import CallerSession
-from .standins.deployments import Deployment, Traffic
-from .standins.faults import FAULT_SETS, Fault, inject_fault
-from .standins.schedules import START_EPOCH_SECONDS
-from .standins.tallies import KindTally, PromiseTally, tally_requests
-from .standins.worlds import World, WorldSettings
+from ..shared.errors import InvariantViolationError
+from ..standins.caller_sessions import CallerSession
+from ..standins.deployments import Deployment, Traffic
+from ..standins.faults import FAULT_SETS, Fault, inject_fault
+from ..standins.schedules import START_EPOCH_SECONDS
+from ..standins.tallies import KindTally, PromiseTally, tally_requests
+from ..standins.worlds import World, WorldSettings
 
 WINDOW_SECONDS = 30.0
 WARMUP_SECONDS = 5.0
--- a/marjoramford/packet_comparisons.py
+++ b/marjoramford/evaluations/packet_comparisons.py
@@ -9,19 +9,19 @@
 
 import msgspec
 
-from .backend_servers import BackendServer
-from .draws import choose_near_lowest
-from .flow_balancers import FlowBalancer
-from .flow_settings import PacketVmSettings
+from ..opaque_flows.flow_balancers import FlowBalancer
+from ..opaque_flows.flow_settings import PacketVmSettings
+from ..opaque_flows.routes import Route, RouteTable
+from ..opaque_flows.server_lists import ListChanges, ServerList
+from ..shared.backend_servers import BackendServer
+from ..shared.draws import choose_near_lowest
+from ..standins.deployments import DEPLOYMENTS
+from ..standins.packet_faults import KillAllVms, PacketFault, inject_fault
+from ..standins.packet_traffic import PacketRequest
+from ..standins.packet_vms import BalancerFactory
+from ..standins.packet_worlds import PacketWorld, PacketWorldSettings
+from ..standins.schedules import START_EPOCH_SECONDS
 from .packet_experiments import WARMUP_SECONDS, PacketExperiment, PacketMeasures, PacketPlan
-from .routes import Route, RouteTable
-from .server_lists import ListChanges, ServerList
-from .standins.deployments import DEPLOYMENTS
-from .standins.packet_faults import KillAllVms, PacketFault, inject_fault
-from .standins.packet_traffic import PacketRequest
-from .standins.packet_vms import BalancerFactory
-from .standins.packet_worlds import PacketWorld, PacketWorldSettings
-from .standins.schedules import START_EPOCH_SECONDS
 
 RUN_SECONDS = 40.0
 # When all entry VMs are killed in patterns with an outage, counted from the start of the traffic.
--- a/marjoramford/packet_experiments.py
+++ b/marjoramford/evaluations/packet_experiments.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .standins.deployments import Deployment
-from .standins.packet_checkers import PacketFindings
-from .standins.packet_faults import PACKET_FAULT_SETS, PacketFault, inject_fault
-from .standins.packet_traffic import PacketRequest, PacketTraffic
-from .standins.packet_worlds import PacketWorld, PacketWorldSettings
-from .standins.schedules import START_EPOCH_SECONDS
+from ..standins.deployments import Deployment
+from ..standins.packet_checkers import PacketFindings
+from ..standins.packet_faults import PACKET_FAULT_SETS, PacketFault, inject_fault
+from ..standins.packet_traffic import PacketRequest, PacketTraffic
+from ..standins.packet_worlds import PacketWorld, PacketWorldSettings
+from ..standins.schedules import START_EPOCH_SECONDS
 
 # Time for entry VMs to enter rotation before the traffic, and for requests to end after it.
 WARMUP_SECONDS = 3.0
--- a/marjoramford/tables.py
+++ b/marjoramford/evaluations/tables.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from ..standins.demos import DemoReport
 from .packet_experiments import PacketMeasures
-from .standins.demos import DemoReport
 
 
 def render_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
--- a/marjoramford/cold_starts.py
+++ b/marjoramford/opaque_flows/cold_starts.py
@@ -21,10 +21,10 @@
 
 import msgspec
 
-from .backend_servers import BackendServer
-from .entry_vms import rendezvous_order
+from ..shared.backend_servers import BackendServer
+from ..shared.entry_vms import rendezvous_order
+from ..shared.logs import LogEvent, log_event
 from .flow_settings import ColdStartSettings
-from .logs import LogEvent, log_event
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/early_starts.py
+++ b/marjoramford/opaque_flows/early_starts.py
@@ -21,8 +21,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .addresses import Address
-from .errors import Step, StepError
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
+from ..shared.logs import LogEvent, log_event
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_messages import (
@@ -32,7 +33,6 @@
     ReplyReader,
     encode_request,
 )
-from .logs import LogEvent, log_event
 from .packet_sockets import PacketSocket
 from .published_states import apply_state, decode_state, make_question
 
--- a/marjoramford/evidence_exchanges.py
+++ b/marjoramford/opaque_flows/evidence_exchanges.py
@@ -11,13 +11,13 @@
 import msgspec
 from result import Err, Ok
 
-from .addresses import Address
-from .errors import Step, StepError
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_calls import HttpClient
-from .json_bodies import decode_json
-from .logs import LogEvent, log_event
 from .peer_groups import PeerGroup
 from .shared_evidence import EvidenceCollector, EvidenceMessage, ReportLog, ServerReport
 from .state_publishers import StatePublisher
--- a/marjoramford/failure_detectors.py
+++ b/marjoramford/opaque_flows/failure_detectors.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from ..shared.responsiveness import MAX_RETRANSMISSION_GAP_SECONDS, Responsiveness
 from .flow_settings import SilenceSettings
-from .responsiveness import MAX_RETRANSMISSION_GAP_SECONDS, Responsiveness
 
 # Callers retransmit after 0.2 s; an answer that comes sooner was not held up on the own link.
 QUICK_ANSWER_SECONDS = 0.2
--- a/marjoramford/flow_balancers.py
+++ b/marjoramford/opaque_flows/flow_balancers.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from .backend_servers import BackendServer
+from ..shared.backend_servers import BackendServer
+from ..shared.logs import LogEvent, log_event
 from .cold_starts import ColdStartControl
 from .failure_detectors import (
     LINK_PROOF_SECONDS,
@@ -30,7 +31,6 @@
 from .flow_logs import log_dead_server, log_overload, log_placement, log_silence
 from .flow_settings import PacketVmSettings
 from .latencies import LatencyHistogram
-from .logs import LogEvent, log_event
 from .overload_controls import OverloadControl, are_slots_taken
 from .packet_flows import PacketFlow, PacketFlowTable
 from .packets import DropPacket, FlowKey, Forward, PacketAction, PacketHeader, ResetFlow
--- a/marjoramford/flow_dumps.py
+++ b/marjoramford/opaque_flows/flow_dumps.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .backend_servers import BackendServer
+from ..shared.backend_servers import BackendServer
 from .flow_balancers import FlowBalancer
 from .peer_groups import PeerGroup
 from .server_lists import ServerList
--- a/marjoramford/flow_labels.py
+++ b/marjoramford/opaque_flows/flow_labels.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from .backend_servers import BackendServer
+from ..shared.backend_servers import BackendServer
 
 NO_LABEL = 0
 LABEL_MASK = 0xFFFFFFFF
--- a/marjoramford/flow_logs.py
+++ b/marjoramford/opaque_flows/flow_logs.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from .backend_servers import BackendServer
-from .logs import LogEvent, log_event
+from ..shared.backend_servers import BackendServer
+from ..shared.logs import LogEvent, log_event
 from .overload_controls import OverloadControl
 from .packet_flows import PacketFlow
 from .routes import RouteTable
--- a/marjoramford/flow_metrics.py
+++ b/marjoramford/opaque_flows/flow_metrics.py
@@ -5,9 +5,9 @@
 
 from prometheus_client.core import GaugeMetricFamily, HistogramMetricFamily, Metric
 
+from ..shared.metric_families import make_counter, make_gauge, render_collector
 from .flow_balancers import FlowBalancer
 from .latencies import LATENCY_BOUNDS_SECONDS, LatencyHistogram
-from .metric_families import make_counter, make_gauge, render_collector
 from .server_lists import ServerList
 
 
--- a/marjoramford/flow_settings.py
+++ b/marjoramford/opaque_flows/flow_settings.py
@@ -6,8 +6,8 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from .addresses import Address
-from .errors import Step, StepError
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
 
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 Share = Annotated[float, Meta(ge=0, le=10)]
--- a/marjoramford/http_calls.py
+++ b/marjoramford/opaque_flows/http_calls.py
@@ -4,8 +4,8 @@
 
 from result import Err, Ok, Result
 
-from .addresses import Address
-from .errors import Step, StepError
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
 from .http_messages import (
     MAX_REPLY_BODY_BYTES,
     HttpError,
--- a/marjoramford/http_messages.py
+++ b/marjoramford/opaque_flows/http_messages.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Result
 
-from .errors import StepError
+from ..shared.errors import StepError
 
 # Bounds what a peer can make this process buffer for one head.
 MAX_HEAD_BYTES = 65_536
--- a/marjoramford/http_services.py
+++ b/marjoramford/opaque_flows/http_services.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .addresses import Address
+from ..shared.addresses import Address
 from .http_messages import HttpError, HttpRequest, RequestReader, encode_response
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/load_exchanges.py
+++ b/marjoramford/opaque_flows/load_exchanges.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from .addresses import Address
+from ..shared.addresses import Address
+from ..shared.logs import LogEvent, log_event
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
-from .logs import LogEvent, log_event
 from .peer_groups import PeerGroup
 from .peer_loads import LoadReport, choose_receivers
 
--- a/marjoramford/overload_controls.py
+++ b/marjoramford/opaque_flows/overload_controls.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from .backend_servers import BackendServer
+from ..shared.backend_servers import BackendServer
 from .cold_starts import is_limited
 from .flow_settings import OverloadSettings
 from .routes import Route
--- a/marjoramford/packet_daemons.py
+++ b/marjoramford/opaque_flows/packet_daemons.py
@@ -17,24 +17,24 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from .addresses import Address
+from ..shared.addresses import Address
+from ..shared.entry_vms import EntryVm
+from ..shared.errors import StepError
+from ..shared.logs import LogEvent, log_event
+from ..shared.tasks import run_guarded
 from .early_starts import EarlyStart
-from .entry_vms import EntryVm
-from .errors import StepError
 from .evidence_exchanges import EvidenceExchange
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_messages import HttpRequest
 from .http_services import HttpResponse, serve_http
 from .load_exchanges import LoadExchange
-from .logs import LogEvent, log_event
 from .packet_sockets import PacketSocket
 from .packets import PacketCodec
 from .peer_groups import PeerGroup
 from .shared_evidence import EvidenceCollector
 from .state_publishers import StatePublisher
 from .state_readers import MemberExchange, PlatformReader, StateReader, merge_members
-from .tasks import run_guarded
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/packet_flows.py
+++ b/marjoramford/opaque_flows/packet_flows.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from .backend_servers import BackendServer
+from ..shared.backend_servers import BackendServer
+from ..shared.responsiveness import MAX_RETRANSMISSION_GAP_SECONDS
 from .flow_labels import derive_label
 from .packets import FlowKey, PacketHeader
-from .responsiveness import MAX_RETRANSMISSION_GAP_SECONDS
 
 SEQUENCE_MODULUS = 1 << 32
 # Data that an endpoint may have in flight without an acknowledgement: 16 packets of 1,200 bytes.
--- a/marjoramford/packet_sockets.py
+++ b/marjoramford/opaque_flows/packet_sockets.py
@@ -4,9 +4,9 @@
 import socket
 import time
 
-from .addresses import Address
+from ..shared.addresses import Address
+from ..shared.logs import LogEvent, log_event
 from .flow_balancers import FlowBalancer
-from .logs import LogEvent, log_event
 from .packets import Forward, PacketCodec, ResetFlow
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/packets.py
+++ b/marjoramford/opaque_flows/packets.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from .addresses import Address
-from .backend_servers import BackendServer
+from ..shared.addresses import Address
+from ..shared.backend_servers import BackendServer
 
 
 class FlowKey(NamedTuple):
--- a/marjoramford/peer_groups.py
+++ b/marjoramford/opaque_flows/peer_groups.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from .addresses import Address
-from .entry_vms import EntryVm, EntryVms, MemberUpdate, rendezvous_order
+from ..shared.addresses import Address
+from ..shared.entry_vms import EntryVm, EntryVms, MemberUpdate, rendezvous_order
 from .flow_settings import PeerSettings
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/placements.py
+++ b/marjoramford/opaque_flows/placements.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
-from .backend_servers import BackendServer
-from .draws import choose_near_lowest
+from ..shared.backend_servers import BackendServer
+from ..shared.draws import choose_near_lowest
 from .flow_settings import PlacementSettings
 
 
--- a/marjoramford/published_states.py
+++ b/marjoramford/opaque_flows/published_states.py
@@ -7,10 +7,10 @@
 from msgspec import Meta
 from result import Err, Result
 
+from ..shared.json_bodies import decode_json
+from ..shared.records import VmRecord
 from .flow_balancers import FlowBalancer
 from .http_messages import MAX_REPLY_BODY_BYTES
-from .json_bodies import decode_json
-from .records import VmRecord
 from .routes import RouteChanges, RouteTable
 from .server_lists import ListChanges
 from .shared_evidence import PublishedEvidence
--- a/marjoramford/read_cursors.py
+++ b/marjoramford/opaque_flows/read_cursors.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from .logs import LogEvent, log_event
+from ..shared.logs import LogEvent, log_event
 from .state_versions import NOTHING_READ, StateVersion
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/server_lists.py
+++ b/marjoramford/opaque_flows/server_lists.py
@@ -19,12 +19,12 @@
 
 import msgspec
 
-from .addresses import Address
-from .backend_servers import BackendServer, BackendServers
+from ..shared.addresses import Address
+from ..shared.backend_servers import BackendServer, BackendServers
+from ..shared.logs import LogEvent, log_event
+from ..shared.records import VmRecord
 from .flow_labels import LabelIndex
 from .flow_settings import ListSettings
-from .logs import LogEvent, log_event
-from .records import VmRecord
 from .state_versions import NOTHING_READ, StateVersion
 from .zone_drains import ZoneDrain, ZoneDrains
 
--- a/marjoramford/shared_evidence.py
+++ b/marjoramford/opaque_flows/shared_evidence.py
@@ -20,9 +20,9 @@
 import msgspec
 from msgspec import Meta
 
-from .entry_vms import rendezvous_order
+from ..shared.entry_vms import rendezvous_order
+from ..shared.logs import LogEvent, log_event
 from .flow_settings import Name, SharedEvidenceSettings
-from .logs import LogEvent, log_event
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/state_readers.py
+++ b/marjoramford/opaque_flows/state_readers.py
@@ -8,15 +8,15 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .addresses import Address
-from .entry_vms import MemberUpdate
-from .errors import Step, StepError
+from ..shared.addresses import Address
+from ..shared.entry_vms import MemberUpdate
+from ..shared.errors import Step, StepError
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_calls import HttpClient
 from .http_messages import HttpReply
-from .json_bodies import decode_json
-from .logs import LogEvent, log_event
 from .peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
 from .published_states import apply_state, decode_state, make_question
 from .state_publishers import StatePublisher
--- a/marjoramford/zone_drains.py
+++ b/marjoramford/opaque_flows/zone_drains.py
@@ -18,7 +18,7 @@
 import msgspec
 from msgspec import Meta
 
-from .logs import LogEvent, log_event
+from ..shared.logs import LogEvent, log_event
 from .state_versions import NOTHING_READ, StateVersion
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/platform/entries.py
+++ b/marjoramford/platform/entries.py
@@ -15,12 +15,12 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from ..addresses import Address
-from ..json_bodies import decode_json
-from ..logs import LogEvent, log_event
-from ..records import VmRecord
-from ..routes import Route, RouteTable, WarmupLimit, WeightedService
-from ..zone_drains import ZoneDrain
+from ..opaque_flows.routes import Route, RouteTable, WarmupLimit, WeightedService
+from ..opaque_flows.zone_drains import ZoneDrain
+from ..shared.addresses import Address
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
+from ..shared.records import VmRecord
 from .packets import server_number
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/platform/entry_points.py
+++ b/marjoramford/platform/entry_points.py
@@ -11,13 +11,13 @@
 
 from result import Result
 
-from ..addresses import Address
-from ..early_starts import EarlyClient, EarlyStart, ReloadRequest
-from ..errors import Step, StepError
-from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings, read_packet_settings
-from ..logs import configure_logging
-from ..packet_sockets import PacketSocket
+from ..opaque_flows.early_starts import EarlyClient, EarlyStart, ReloadRequest
+from ..opaque_flows.flow_balancers import FlowBalancer
+from ..opaque_flows.flow_settings import PacketVmSettings, read_packet_settings
+from ..opaque_flows.packet_sockets import PacketSocket
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
+from ..shared.logs import configure_logging
 from .packets import PlatformCodec
 from .stores import StoreReader
 
@@ -84,7 +84,7 @@
     # Imported by the early start.
     import asyncio
 
-    from ..packet_daemons import PacketVm
+    from ..opaque_flows.packet_daemons import PacketVm
 
     vm = PacketVm(settings, codec, lambda *_: early.reader, read_settings, early)
     return 0 if asyncio.run(vm.run()) else EXIT_FAILED
--- a/marjoramford/platform/packets.py
+++ b/marjoramford/platform/packets.py
@@ -3,8 +3,8 @@
 from functools import lru_cache
 from struct import Struct
 
-from ..addresses import Address
-from ..packets import FlowKey, Forward, PacketHeader, format_ip
+from ..opaque_flows.packets import FlowKey, Forward, PacketHeader, format_ip
+from ..shared.addresses import Address
 
 # Little-endian: dport, sport, src, dst, echo, flags, pad, seq, ack, len, sum. `echo` is the label.
 # On an opening packet `ack` is the number of copies sent before it.
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -7,18 +7,24 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..addresses import Address
-from ..errors import Step, StepError
-from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings
-from ..http_messages import HttpReply, ReplyClient
-from ..json_bodies import decode_json
-from ..logs import LogEvent, log_event
-from ..read_cursors import AnswerKind, ReadCursor, ReadEverything, RejectAnswer, UseAnswer
-from ..records import VmRecord
-from ..server_lists import ListChanges
-from ..state_versions import StateVersion
-from ..zone_drains import ZoneDrain
+from ..opaque_flows.flow_balancers import FlowBalancer
+from ..opaque_flows.flow_settings import PacketVmSettings
+from ..opaque_flows.http_messages import HttpReply, ReplyClient
+from ..opaque_flows.read_cursors import (
+    AnswerKind,
+    ReadCursor,
+    ReadEverything,
+    RejectAnswer,
+    UseAnswer,
+)
+from ..opaque_flows.server_lists import ListChanges
+from ..opaque_flows.state_versions import StateVersion
+from ..opaque_flows.zone_drains import ZoneDrain
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
+from ..shared.records import VmRecord
 from .entries import (
     DRAIN_PREFIX,
     OPERATOR_PREFIX,
@@ -254,7 +260,7 @@
 
     def _make_client(self) -> ReplyClient:
         # Imported here, because a start reads the store before it imports asyncio.
-        from ..http_calls import HttpClient
+        from ..opaque_flows.http_calls import HttpClient
 
         return HttpClient(self._address, Step.READ_PLATFORM)
 
--- /dev/null
+++ b/marjoramford/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What both data paths use: records, backend servers, members, errors and logs."""
--- a/marjoramford/backend_servers.py
+++ b/marjoramford/shared/backend_servers.py
@@ -18,7 +18,7 @@
 from .responsiveness import Responsiveness
 
 if TYPE_CHECKING:
-    from .events import LoadReported
+    from ..token_flows.events import LoadReported
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/logs.py
+++ b/marjoramford/shared/logs.py
@@ -191,7 +191,7 @@
         handler = NonBlockingHandler(descriptor)
     handler.addFilter(RateLimitFilter())
     handler.setFormatter(JsonFormatter() if style == "json" else PlainFormatter())
-    package = logging.getLogger(__package__)
+    package = logging.getLogger(__package__.partition(".")[0])
     package.handlers[:] = [handler]
     package.setLevel(level.upper())
     package.propagate = False
--- a/marjoramford/standins/caller_sessions.py
+++ b/marjoramford/standins/caller_sessions.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok
 
-from ..messages import (
+from ..token_flows.messages import (
     Answer,
     Close,
     CoordinatorLost,
--- a/marjoramford/standins/callers.py
+++ b/marjoramford/standins/callers.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from ..addresses import Address
+from ..shared.addresses import Address
 from .caller_sessions import CallerSession
 
 POLL_SECONDS = 0.02
--- a/marjoramford/standins/commands.py
+++ b/marjoramford/standins/commands.py
@@ -12,10 +12,10 @@
 import msgspec
 from aiohttp import web
 
-from ..addresses import Address
 from ..deferrals import deferred
-from ..records import VmRecord
-from ..watchers import PublishedPage
+from ..shared.addresses import Address
+from ..shared.records import VmRecord
+from ..token_flows.watchers import PublishedPage
 from .caller_sessions import CallerSession
 from .callers import CallerStandin
 from .demos import make_server
--- a/marjoramford/standins/demos.py
+++ b/marjoramford/standins/demos.py
@@ -9,11 +9,11 @@
 import msgspec
 from aiohttp import web
 
-from ..addresses import Address
-from ..daemons import EntryVmDaemon
-from ..events import DrainRequested
-from ..records import VmRecord
-from ..settings import EntryVmSettings
+from ..shared.addresses import Address
+from ..shared.records import VmRecord
+from ..token_flows.daemons import EntryVmDaemon
+from ..token_flows.events import DrainRequested
+from ..token_flows.settings import EntryVmSettings
 from .caller_sessions import CallerSession
 from .callers import CallerStandin
 from .deployments import Deployment, Traffic
--- a/marjoramford/standins/deployments.py
+++ b/marjoramford/standins/deployments.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..records import CatalogueEntry, KindRules
+from ..shared.records import CatalogueEntry, KindRules
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramford/standins/drain_drills.py
+++ b/marjoramford/standins/drain_drills.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from .. import http_calls, state_readers
-from ..addresses import Address
-from ..errors import Step
-from ..http_messages import HttpReply
-from ..peer_groups import ReadPlatform
+from ..opaque_flows import http_calls, state_readers
+from ..opaque_flows.http_messages import HttpReply
+from ..opaque_flows.peer_groups import ReadPlatform
+from ..opaque_flows.published_states import decode_state, encode_state
 from ..platform.entries import DRAIN_PREFIX
-from ..published_states import decode_state, encode_state
+from ..shared.addresses import Address
+from ..shared.errors import Step
 from .packet_stores import PacketStore, StoreCopy
 from .packet_vms import TICK_INTERVAL_SECONDS
 from .restore_drills import (
--- a/marjoramford/standins/fabrics.py
+++ b/marjoramford/standins/fabrics.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from ..addresses import Address
+from ..shared.addresses import Address
 
 MAX_CALLERS = 2000
 
--- a/marjoramford/standins/faults.py
+++ b/marjoramford/standins/faults.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from ..events import DrainRequested
-from ..keys import KeyRing
+from ..token_flows.events import DrainRequested
+from ..token_flows.keys import KeyRing
 from .networks import PLATFORM
 from .worlds import KEY_SECRETS, EntryNode, ServerNode, World, copy_platform
 
--- a/marjoramford/standins/packet_callers.py
+++ b/marjoramford/standins/packet_callers.py
@@ -6,9 +6,9 @@
 from random import Random
 from socket import inet_aton
 
-from ..addresses import Address
-from ..packets import FlowKey
+from ..opaque_flows.packets import FlowKey
 from ..platform.packets import FLAG_FIN, FLAG_RST, FLAG_SYN, MAX_DATA_BYTES
+from ..shared.addresses import Address
 from .packet_endpoints import (
     FIRST_RETRANSMISSION_SECONDS,
     FLAG_ACK,
--- a/marjoramford/standins/packet_catalogues.py
+++ b/marjoramford/standins/packet_catalogues.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from ..records import VmRecord
-from ..routes import Route, RouteTable, WarmupLimit, WeightedService
-from ..server_lists import ListChanges
-from ..state_versions import StateVersion
-from ..zone_drains import ZoneDrain
+from ..opaque_flows.routes import Route, RouteTable, WarmupLimit, WeightedService
+from ..opaque_flows.server_lists import ListChanges
+from ..opaque_flows.state_versions import StateVersion
+from ..opaque_flows.zone_drains import ZoneDrain
+from ..shared.records import VmRecord
 
 IDLE_SECONDS = 15.0
 FIRST_ERA = 1
--- a/marjoramford/standins/packet_checkers.py
+++ b/marjoramford/standins/packet_checkers.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..addresses import Address
-from ..packets import FlowKey
+from ..opaque_flows.packets import FlowKey
 from ..platform.packets import FLAG_SYN
+from ..shared.addresses import Address
 from .packet_callers import CallerFlow
 from .packet_catalogues import PacketCatalogue
 from .packet_endpoints import Packet
--- a/marjoramford/standins/packet_endpoints.py
+++ b/marjoramford/standins/packet_endpoints.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..addresses import Address
-from ..packets import FlowKey
+from ..opaque_flows.packets import FlowKey
 from ..platform.packets import HEADER
+from ..shared.addresses import Address
 
 FLAG_ACK = 8
 # Callers and servers use the same retransmission timers.
--- a/marjoramford/standins/packet_servers.py
+++ b/marjoramford/standins/packet_servers.py
@@ -11,9 +11,9 @@
 from random import Random
 from typing import Protocol
 
-from ..addresses import Address
-from ..packets import FlowKey, format_ip
+from ..opaque_flows.packets import FlowKey, format_ip
 from ..platform.packets import FLAG_FIN, FLAG_RST, FLAG_SYN, SERVER_ID, server_number
+from ..shared.addresses import Address
 from .packet_endpoints import (
     FIRST_RETRANSMISSION_SECONDS,
     FLAG_ACK,
--- a/marjoramford/standins/packet_sites.py
+++ b/marjoramford/standins/packet_sites.py
@@ -16,11 +16,11 @@
 from pathlib import Path
 from random import Random
 
-from ..addresses import Address
-from ..entry_vms import rendezvous_order
-from ..errors import Step
-from ..http_calls import HttpClient
-from ..packets import FlowKey
+from ..opaque_flows.http_calls import HttpClient
+from ..opaque_flows.packets import FlowKey
+from ..shared.addresses import Address
+from ..shared.entry_vms import rendezvous_order
+from ..shared.errors import Step
 from .packet_callers import AttemptOutcome, CallerFlow, PacketCaller
 from .packet_servers import PacketServer
 from .packet_sockets import LoopbackEndpoint, await_callback
--- a/marjoramford/standins/packet_stores.py
+++ b/marjoramford/standins/packet_stores.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from ..addresses import Address
-from ..http_messages import HttpRequest
-from ..http_services import HttpResponse, serve_http
+from ..opaque_flows.http_messages import HttpRequest
+from ..opaque_flows.http_services import HttpResponse, serve_http
+from ..shared.addresses import Address
 
 PAGE_ITEMS = 50
 ERA_HEADER = "Store-Era"
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -5,13 +5,13 @@
 from random import Random
 from typing import Protocol
 
-from ..addresses import Address
-from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings, PeerSettings, SharedEvidenceSettings
-from ..packets import FlowKey, Forward, ResetFlow
-from ..peer_groups import ZoneMembers
-from ..peer_loads import choose_receivers
+from ..opaque_flows.flow_balancers import FlowBalancer
+from ..opaque_flows.flow_settings import PacketVmSettings, PeerSettings, SharedEvidenceSettings
+from ..opaque_flows.packets import FlowKey, Forward, ResetFlow
+from ..opaque_flows.peer_groups import ZoneMembers
+from ..opaque_flows.peer_loads import choose_receivers
 from ..platform.packets import PlatformCodec
+from ..shared.addresses import Address
 from .packet_catalogues import PacketCatalogue
 from .rotations import Rotation
 
--- a/marjoramford/standins/packet_worlds.py
+++ b/marjoramford/standins/packet_worlds.py
@@ -10,12 +10,12 @@
 from enum import StrEnum
 from random import Random
 
-from ..addresses import Address
-from ..entry_vms import rendezvous_order
-from ..flow_balancers import FlowBalancer
-from ..flow_settings import SharedEvidenceSettings
-from ..packets import FlowKey, Forward
-from ..records import VmRecord
+from ..opaque_flows.flow_balancers import FlowBalancer
+from ..opaque_flows.flow_settings import SharedEvidenceSettings
+from ..opaque_flows.packets import FlowKey, Forward
+from ..shared.addresses import Address
+from ..shared.entry_vms import rendezvous_order
+from ..shared.records import VmRecord
 from .deployments import Deployment
 from .networks import Network
 from .packet_callers import PacketCaller
--- a/marjoramford/standins/platform_models.py
+++ b/marjoramford/standins/platform_models.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from ..record_stores import RecordStore
-from ..records import CatalogueEntry, VmRecord
+from ..shared.records import CatalogueEntry, VmRecord
+from ..token_flows.record_stores import RecordStore
 
 
 class PlatformModel:
--- a/marjoramford/standins/platforms.py
+++ b/marjoramford/standins/platforms.py
@@ -5,8 +5,8 @@
 import msgspec
 from aiohttp import web
 
-from ..records import CatalogueEntry, VmRecord
-from ..watchers import PublishedPage
+from ..shared.records import CatalogueEntry, VmRecord
+from ..token_flows.watchers import PublishedPage
 from .platform_models import PlatformModel
 
 MAX_WAIT_SECONDS = 60.0
--- a/marjoramford/standins/restore_drills.py
+++ b/marjoramford/standins/restore_drills.py
@@ -17,19 +17,19 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .. import http_calls, state_readers
-from ..addresses import Address
-from ..entry_vms import EntryVm
-from ..errors import Step, StepError
-from ..flow_balancers import FlowBalancer
-from ..flow_settings import PacketVmSettings
-from ..http_messages import HttpReply, HttpRequest
-from ..http_services import HttpResponse
-from ..peer_groups import PeerGroup
+from ..opaque_flows import http_calls, state_readers
+from ..opaque_flows.flow_balancers import FlowBalancer
+from ..opaque_flows.flow_settings import PacketVmSettings
+from ..opaque_flows.http_messages import HttpReply, HttpRequest
+from ..opaque_flows.http_services import HttpResponse
+from ..opaque_flows.peer_groups import PeerGroup
+from ..opaque_flows.state_publishers import StatePublisher
+from ..opaque_flows.state_readers import StateReader
 from ..platform.entries import ROUTES_KEY, SERVER_PREFIX
 from ..platform.stores import StoreReader
-from ..state_publishers import StatePublisher
-from ..state_readers import StateReader
+from ..shared.addresses import Address
+from ..shared.entry_vms import EntryVm
+from ..shared.errors import Step, StepError
 from .packet_stores import ERA_HEADER, PacketStore, StoreCopy
 from .virtual_loops import run_virtually
 
--- a/marjoramford/standins/server_models.py
+++ b/marjoramford/standins/server_models.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..messages import Forward, Mismatch, Return
+from ..token_flows.messages import Forward, Mismatch, Return
 from .streams import (
     PIECE_BYTES,
     WINDOW_PIECES,
--- a/marjoramford/standins/servers.py
+++ b/marjoramford/standins/servers.py
@@ -8,9 +8,9 @@
 from aiohttp import web
 from result import Ok
 
-from ..dispatchers import NOT_RUN_HEADER
-from ..messages import decode_forward, encode
-from ..probers import Load
+from ..token_flows.dispatchers import NOT_RUN_HEADER
+from ..token_flows.messages import decode_forward, encode
+from ..token_flows.probers import Load
 from .server_models import RequestRejected, RequestStarted, ServerModel
 
 STATUS_BY_REASON = {"shed": 503, "draining": 503, "mismatch": 421}
--- a/marjoramford/standins/sites.py
+++ b/marjoramford/standins/sites.py
@@ -6,8 +6,8 @@
 import msgspec
 import yaml
 
-from ..addresses import Address
-from ..records import VmRecord
+from ..shared.addresses import Address
+from ..shared.records import VmRecord
 from .deployments import Deployment
 from .platform_models import PlatformModel
 from .ports import HOST, free_ports
--- a/marjoramford/standins/store_proxies.py
+++ b/marjoramford/standins/store_proxies.py
@@ -4,7 +4,7 @@
 import contextlib
 from typing import Literal
 
-from ..addresses import Address
+from ..shared.addresses import Address
 
 LOOPBACK = "127.0.0.1"
 DELAY_SECONDS = 0.3
--- a/marjoramford/standins/worlds.py
+++ b/marjoramford/standins/worlds.py
@@ -12,7 +12,9 @@
 
 import msgspec
 
-from ..actions import (
+from ..shared.addresses import Address
+from ..shared.records import VmRecord
+from ..token_flows.actions import (
     Action,
     CancelDispatch,
     Dispatch,
@@ -24,10 +26,9 @@
     SendInner,
     SendToCaller,
 )
-from ..addresses import Address
-from ..balancers import Balancer, Identity
-from ..choosers import Policy
-from ..events import (
+from ..token_flows.balancers import Balancer, Identity
+from ..token_flows.choosers import Policy
+from ..token_flows.events import (
     AnswerReceived,
     BrokenOff,
     CallerDatagram,
@@ -47,10 +48,9 @@
     Tick,
     VmListRead,
 )
-from ..keys import KeyRing
-from ..messages import decode_forward, encode
-from ..records import VmRecord
-from ..settings import CoreSettings
+from ..token_flows.keys import KeyRing
+from ..token_flows.messages import decode_forward, encode
+from ..token_flows.settings import CoreSettings
 from .caller_sessions import CallerSession
 from .deployments import Deployment
 from .networks import PLATFORM, Network
--- /dev/null
+++ b/marjoramford/token_flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flows with tokens: entry VMs that handle single requests of the callers."""
--- a/marjoramford/actions.py
+++ b/marjoramford/token_flows/actions.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .addresses import Address
+from ..shared.addresses import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramford/admissions.py
+++ b/marjoramford/token_flows/admissions.py
@@ -1,13 +1,13 @@
 """Admission of new flows: checks the service's connection limit and chooses a backend server."""
 
+from ..shared.addresses import Address
+from ..shared.backend_servers import BackendServer
+from ..shared.records import CatalogueEntry
 from .actions import Action, SendInner, SendToCaller
-from .addresses import Address
-from .backend_servers import BackendServer
 from .keys import Purpose
 from .limits import LimitRequest, Resource
 from .messages import Open, Opened, OpenRefused, Relay, encode
 from .nodes import Node
-from .records import CatalogueEntry
 from .requests import Flow
 from .tokens import Token, seal_token, verify_token
 
--- a/marjoramford/balancers.py
+++ b/marjoramford/token_flows/balancers.py
@@ -12,13 +12,13 @@
 
 import msgspec
 
+from ..shared.addresses import Address
+from ..shared.entry_vms import EntryVm, EntryVms, rendezvous_order
 from .actions import Action
-from .addresses import Address
 from .admissions import FlowAdmission
 from .budgets import TokenBucket
 from .choosers import POLICIES, Policy
 from .coordinators import RequestCoordinator
-from .entry_vms import EntryVm, EntryVms, rendezvous_order
 from .events import (
     CallerDatagram,
     CatalogueRead,
--- a/marjoramford/choosers.py
+++ b/marjoramford/token_flows/choosers.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from .backend_servers import BackendServer
-from .draws import choose_near_lowest
-from .entry_vms import rendezvous_order
+from ..shared.backend_servers import BackendServer
+from ..shared.draws import choose_near_lowest
+from ..shared.entry_vms import rendezvous_order
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramford/controls.py
+++ b/marjoramford/token_flows/controls.py
@@ -6,10 +6,10 @@
 from aiohttp import web
 from result import Err, Ok
 
+from ..shared.logs import LogEvent, log_event
 from .cores import Core
 from .events import DrainRequested, Event, GossipReceived, HandoverReceived
 from .keys import KeyRing
-from .logs import LogEvent, log_event
 from .metrics import render_metrics
 from .seals import SEAL_HEADER, seal_header, verify_body
 from .settings import TimeSettings
--- a/marjoramford/coordinators.py
+++ b/marjoramford/token_flows/coordinators.py
@@ -10,15 +10,16 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from ..shared.addresses import Address
+from ..shared.backend_servers import BackendServer
+from ..shared.logs import LogEvent, log_event
+from ..shared.records import KindRules
 from .actions import Action, CancelDispatch, Dispatch, SendToCaller
-from .addresses import Address
-from .backend_servers import BackendServer
 from .budgets import RetryBudget
 from .choosers import ChoiceContext, choose
 from .events import AnswerReceived, BrokenOff, DispatchEnded, DispatchOutcome, ProvedNotRun
 from .invariants import Invariant
 from .limits import LimitRequest, Resource
-from .logs import LogEvent, log_event
 from .messages import (
     ANSWER_PIECE_BYTES,
     MAX_ANSWER_PIECES,
@@ -31,7 +32,6 @@
 from .nodes import Node
 from .outcomes import final_datagrams
 from .queues import CLASS_RANKS, WaitingQueue
-from .records import KindRules
 from .requests import (
     Answered,
     Dispatched,
--- a/marjoramford/daemons.py
+++ b/marjoramford/token_flows/daemons.py
@@ -9,8 +9,10 @@
 
 from aiohttp import web
 
+from ..shared.addresses import Address
+from ..shared.logs import LogEvent, log_event
+from ..shared.tasks import run_guarded
 from . import signals
-from .addresses import Address
 from .balancers import Balancer, Identity
 from .controls import ControlServer
 from .cores import Core
@@ -18,11 +20,9 @@
 from .dispatchers import Dispatcher
 from .events import DrainRequested
 from .keys import KeyRing
-from .logs import LogEvent, log_event
 from .peers import PeerClient
 from .probers import Prober
 from .settings import EntryVmSettings
-from .tasks import run_guarded
 from .watchers import Watcher
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/datagrams.py
+++ b/marjoramford/token_flows/datagrams.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 
-from .addresses import Address
+from ..shared.addresses import Address
 from .cores import Core
 from .events import CallerDatagram, Event, InnerDatagram
 
--- a/marjoramford/dispatchers.py
+++ b/marjoramford/token_flows/dispatchers.py
@@ -13,10 +13,10 @@
 
 import aiohttp
 
+from ..shared.logs import LogEvent, log_event
 from .actions import CancelDispatch, Dispatch
 from .cores import Core
 from .events import AnswerReceived, BrokenOff, DispatchEnded, DispatchOutcome, ProvedNotRun
-from .logs import LogEvent, log_event
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/forwarders.py
+++ b/marjoramford/token_flows/forwarders.py
@@ -6,14 +6,14 @@
 import msgspec
 from result import Err, Ok
 
+from ..shared.addresses import Address
+from ..shared.backend_servers import BackendServer
+from ..shared.entry_vms import Coordinator, CoordinatorLocation, Local, Lost, Remote
+from ..shared.logs import LogEvent, log_event
 from .actions import Action, SendInner, SendToCaller
-from .addresses import Address
 from .admissions import FlowAdmission, relay
-from .backend_servers import BackendServer
 from .coordinators import RequestCoordinator
-from .entry_vms import Coordinator, CoordinatorLocation, Local, Lost, Remote
 from .keys import Purpose
-from .logs import LogEvent, log_event
 from .messages import (
     Close,
     CoordinatorLost,
--- a/marjoramford/gossips.py
+++ b/marjoramford/token_flows/gossips.py
@@ -5,15 +5,15 @@
 import msgspec
 from result import Err, Ok
 
+from ..shared.addresses import Address
+from ..shared.entry_vms import EntryVm, MemberUpdate
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
 from .actions import Action, ReplyGossip, SendGossip
-from .addresses import Address
 from .coordinators import RequestCoordinator
-from .entry_vms import EntryVm, MemberUpdate
 from .events import GossipFailed, GossipReceived, GossipReplied
 from .invariants import Invariant
-from .json_bodies import decode_json
 from .limits import Lease, LimitRequest, Resource
-from .logs import LogEvent, log_event
 from .nodes import Node
 from .publications import Publications
 
--- a/marjoramford/handovers.py
+++ b/marjoramford/token_flows/handovers.py
@@ -20,14 +20,14 @@
 import msgspec
 from result import Err, Ok
 
+from ..shared.addresses import Address
+from ..shared.entry_vms import Coordinator, EntryVm, rendezvous_order
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
 from .actions import Action, DrainFinished, ReplyHandover, SendHandover
-from .addresses import Address
 from .coordinators import RequestCoordinator
-from .entry_vms import Coordinator, EntryVm, rendezvous_order
 from .events import HandoverReceived, HandoverReplied
 from .invariants import Invariant
-from .json_bodies import decode_json
-from .logs import LogEvent, log_event
 from .nodes import Node
 from .requests import Answered, Flow, Refused, RequestRecord, Unknown
 
--- a/marjoramford/invariants.py
+++ b/marjoramford/token_flows/invariants.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from enum import StrEnum
 
-from .errors import InvariantViolationError
-from .logs import LogEvent, log_event
+from ..shared.errors import InvariantViolationError
+from ..shared.logs import LogEvent, log_event
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/limits.py
+++ b/marjoramford/token_flows/limits.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from .entry_vms import rendezvous_order
+from ..shared.entry_vms import rendezvous_order
 
 
 class Resource(StrEnum):
--- a/marjoramford/messages.py
+++ b/marjoramford/token_flows/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .addresses import Address
+from ..shared.addresses import Address
 
 MAX_DATAGRAM_BYTES = 1400
 MAX_RELAY_BYTES = MAX_DATAGRAM_BYTES + 200
--- a/marjoramford/metrics.py
+++ b/marjoramford/token_flows/metrics.py
@@ -4,8 +4,8 @@
 
 from prometheus_client.core import Metric
 
+from ..shared.metric_families import make_counter, make_gauge, render_collector
 from .balancers import Balancer
-from .metric_families import make_counter, make_gauge, render_collector
 
 
 class BalancerCollector:
--- a/marjoramford/nodes.py
+++ b/marjoramford/token_flows/nodes.py
@@ -4,16 +4,16 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from .backend_servers import BackendServers
+from ..shared.backend_servers import BackendServers
+from ..shared.entry_vms import Coordinator, EntryVm, EntryVms
+from ..shared.records import CatalogueEntry, VmRecord
 from .budgets import TokenBucket
 from .choosers import Policy
-from .entry_vms import Coordinator, EntryVm, EntryVms
 from .flows import FlowTable
 from .invariants import Invariants
 from .keys import KeyRing
 from .limits import LimitRequest, LimitShares
 from .record_stores import RecordStore
-from .records import CatalogueEntry, VmRecord
 from .reply_suppressors import ReplySuppressor
 from .settings import CoreSettings
 
--- a/marjoramford/peers.py
+++ b/marjoramford/token_flows/peers.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
+from ..shared.addresses import Address
 from .actions import SendGossip, SendHandover
-from .addresses import Address
 from .cores import Core
 from .events import GossipFailed, GossipReplied, HandoverReplied
 from .keys import KeyRing
--- a/marjoramford/probers.py
+++ b/marjoramford/token_flows/probers.py
@@ -7,10 +7,10 @@
 import msgspec
 from msgspec import Meta
 
+from ..shared.json_bodies import decode_json
 from .balancers import ProbeTarget
 from .cores import Core
 from .events import LoadReported, ProbeFailed
-from .json_bodies import decode_json
 from .response_bodies import read_body
 from .settings import EntryVmSettings
 
--- a/marjoramford/publications.py
+++ b/marjoramford/token_flows/publications.py
@@ -8,11 +8,11 @@
 
 from result import Err, Ok
 
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
+from ..shared.records import CatalogueEntry, VmRecord
 from .invariants import Invariant
-from .json_bodies import decode_json
-from .logs import LogEvent, log_event
 from .nodes import Node
-from .records import CatalogueEntry, VmRecord
 
 logger = logging.getLogger(__name__)
 
--- a/marjoramford/reply_suppressors.py
+++ b/marjoramford/token_flows/reply_suppressors.py
@@ -1,6 +1,6 @@
 """Withholding of replies while this entry VM is probably on the minority side of a partition."""
 
-from .entry_vms import EntryVms
+from ..shared.entry_vms import EntryVms
 
 SUPPRESSION_SECONDS = 1.0
 MAX_SUPPRESSED_KEYS = 10_000
--- a/marjoramford/requests.py
+++ b/marjoramford/token_flows/requests.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .addresses import Address
+from ..shared.addresses import Address
 from .invariants import Invariant, Invariants
 
 WINDOW_SIZE = 64
--- a/marjoramford/settings.py
+++ b/marjoramford/token_flows/settings.py
@@ -7,9 +7,9 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 from result import Err, Ok, Result
 
-from .addresses import Address
+from ..shared.addresses import Address
+from ..shared.errors import Step, StepError
 from .choosers import POLICIES
-from .errors import Step, StepError
 
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)]
--- a/marjoramford/tokens.py
+++ b/marjoramford/token_flows/tokens.py
@@ -3,8 +3,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .addresses import Address
-from .entry_vms import Coordinator
+from ..shared.addresses import Address
+from ..shared.entry_vms import Coordinator
 from .keys import KeyRing, Purpose
 
 
--- a/marjoramford/watchers.py
+++ b/marjoramford/token_flows/watchers.py
@@ -7,11 +7,11 @@
 import msgspec
 from result import Err, Ok
 
+from ..shared.errors import Step, StepError
+from ..shared.json_bodies import decode_json
+from ..shared.logs import LogEvent, log_event
 from .cores import Core
-from .errors import Step, StepError
 from .events import CatalogueRead, Event, VmListRead
-from .json_bodies import decode_json
-from .logs import LogEvent, log_event
 from .response_bodies import read_body
 from .settings import TimeSettings
 
--- a/tests/evidence_zones.py
+++ b/tests/evidence_zones.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from marjoramford.flow_settings import SharedEvidenceSettings
-from marjoramford.packets import Forward, ResetFlow
-from marjoramford.shared_evidence import EvidenceCollector, EvidenceMessage, ReportLog
+from marjoramford.opaque_flows.flow_settings import SharedEvidenceSettings
+from marjoramford.opaque_flows.packets import Forward, ResetFlow
+from marjoramford.opaque_flows.shared_evidence import EvidenceCollector, EvidenceMessage, ReportLog
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record
 
--- a/tests/flow_worlds.py
+++ b/tests/flow_worlds.py
@@ -2,15 +2,15 @@
 
 from random import Random
 
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.flow_labels import derive_label
-from marjoramford.flow_settings import PacketVmSettings
-from marjoramford.packets import FlowKey, PacketHeader
-from marjoramford.records import VmRecord
-from marjoramford.routes import Route, RouteTable, WeightedService
-from marjoramford.server_lists import ListChanges
-from marjoramford.state_versions import StateVersion
-from marjoramford.zone_drains import ZoneDrain
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.flow_labels import derive_label
+from marjoramford.opaque_flows.flow_settings import PacketVmSettings
+from marjoramford.opaque_flows.packets import FlowKey, PacketHeader
+from marjoramford.opaque_flows.routes import Route, RouteTable, WeightedService
+from marjoramford.opaque_flows.server_lists import ListChanges
+from marjoramford.opaque_flows.state_versions import StateVersion
+from marjoramford.opaque_flows.zone_drains import ZoneDrain
+from marjoramford.shared.records import VmRecord
 
 ROUTE_IP = 0xC6120001
 ROUTE_PORT = 443
--- a/tests/restore_models.py
+++ b/tests/restore_models.py
@@ -17,12 +17,12 @@
 import msgspec
 from result import Err, Ok
 
-from marjoramford.addresses import Address
-from marjoramford.errors import Step, StepError
-from marjoramford.http_messages import HttpReply, HttpRequest
-from marjoramford.packet_daemons import PacketVm
+from marjoramford.opaque_flows.http_messages import HttpReply, HttpRequest
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.state_versions import NOTHING_READ
 from marjoramford.platform.stores import StoreReader
-from marjoramford.state_versions import NOTHING_READ
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.errors import Step, StepError
 
 from .flow_worlds import SETTINGS, START
 
@@ -213,7 +213,7 @@
         sleeper = SimpleNamespace(sleep=_return_at_once)
         for module in ("platform.stores", "state_readers", "state_publishers"):
             monkeypatch.setattr(f"marjoramford.{module}.time", clock)
-        monkeypatch.setattr("marjoramford.state_readers.asyncio", sleeper)
+        monkeypatch.setattr("marjoramford.opaque_flows.state_readers.asyncio", sleeper)
         self._vm = PacketVm(SETTINGS, None, StoreReader, lambda: None)
         self._reader = self._vm._reader
         self._reader._client = self._reader._platform._client = _Client()
--- a/tests/test_backend_servers.py
+++ b/tests/test_backend_servers.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from marjoramford.backend_servers import FAILURES_TO_EJECT
-from marjoramford.events import BrokenOff, LoadReported, ProbeFailed
+from marjoramford.shared.backend_servers import FAILURES_TO_EJECT
+from marjoramford.token_flows.events import BrokenOff, LoadReported, ProbeFailed
 
 from .token_cores import NOW, TokenCore, dispatches
 
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -14,10 +14,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramford.addresses import Address
-from marjoramford.balancers import Balancer, Identity
-from marjoramford.cores import Core
-from marjoramford.events import (
+from marjoramford.opaque_flows.http_services import HttpResponse, serve_http
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.records import VmRecord
+from marjoramford.standins.deployments import HERITAGE
+from marjoramford.token_flows.balancers import Balancer, Identity
+from marjoramford.token_flows.cores import Core
+from marjoramford.token_flows.events import (
     CallerDatagram,
     CatalogueRead,
     GossipReceived,
@@ -28,10 +31,9 @@
     Tick,
     VmListRead,
 )
-from marjoramford.handovers import HandoverReply
-from marjoramford.http_services import HttpResponse, serve_http
-from marjoramford.keys import KeyRing, Purpose
-from marjoramford.messages import (
+from marjoramford.token_flows.handovers import HandoverReply
+from marjoramford.token_flows.keys import KeyRing, Purpose
+from marjoramford.token_flows.messages import (
     MAX_DATAGRAM_BYTES,
     Open,
     Opened,
@@ -43,12 +45,10 @@
     decode_from_entry_vm,
     encode,
 )
-from marjoramford.records import VmRecord
-from marjoramford.requests import Flow, NewRequest, StaleNumber
-from marjoramford.settings import CoreSettings, TimeSettings
-from marjoramford.standins.deployments import HERITAGE
-from marjoramford.tokens import verify_token
-from marjoramford.watchers import Watcher
+from marjoramford.token_flows.requests import Flow, NewRequest, StaleNumber
+from marjoramford.token_flows.settings import CoreSettings, TimeSettings
+from marjoramford.token_flows.tokens import verify_token
+from marjoramford.token_flows.watchers import Watcher
 
 NOW = 1000.0
 CALLER = Address("10.0.0.9", 5)
--- a/tests/test_caller_sessions.py
+++ b/tests/test_caller_sessions.py
@@ -4,9 +4,15 @@
 
 import pytest
 
-from marjoramford.messages import Deliver, Opened, ServerLost, decode_from_caller, encode
 from marjoramford.standins.caller_sessions import CallerSession
 from marjoramford.standins.streams import UploadState, encode_body
+from marjoramford.token_flows.messages import (
+    Deliver,
+    Opened,
+    ServerLost,
+    decode_from_caller,
+    encode,
+)
 
 NOW = 1000.0
 FIRST_STREAM = 11
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -15,33 +15,33 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramford.addresses import Address
-from marjoramford.cold_start_comparisons import (
+from marjoramford.evaluations.cold_start_comparisons import (
     Holders,
     count_most_in_second,
     count_openings,
     start_fleet,
 )
-from marjoramford.cold_starts import (
+from marjoramford.opaque_flows.cold_starts import (
     FORGET_SECONDS,
     NO_HOLDERS,
     REMEMBER_SECONDS,
     ColdStartControl,
     split_limit,
 )
-from marjoramford.entry_vms import EntryVm
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.flow_dumps import dump_state
-from marjoramford.flow_settings import ColdStartSettings
-from marjoramford.logs import LogEvent
-from marjoramford.overload_controls import are_slots_taken
-from marjoramford.packet_daemons import PacketVm
-from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
-from marjoramford.peer_groups import PeerGroup
-from marjoramford.placements import own_requests
-from marjoramford.published_states import apply_state, decode_state
-from marjoramford.routes import RouteTable, WarmupLimit
-from marjoramford.state_publishers import StatePublisher
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.flow_dumps import dump_state
+from marjoramford.opaque_flows.flow_settings import ColdStartSettings
+from marjoramford.opaque_flows.overload_controls import are_slots_taken
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
+from marjoramford.opaque_flows.peer_groups import PeerGroup
+from marjoramford.opaque_flows.placements import own_requests
+from marjoramford.opaque_flows.published_states import apply_state, decode_state
+from marjoramford.opaque_flows.routes import RouteTable, WarmupLimit
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm
+from marjoramford.shared.logs import LogEvent
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, FlowWorld, record, route_table
 from .flow_worlds import snapshot as whole_list
@@ -227,7 +227,7 @@
     """In a small fleet a starting entry VM may hear of other zones only, for some seconds."""
     hasty = ColdStartSettings(settle_seconds=5.0)
     assert start_fleet(20, 20, 3, hasty).most_in_second <= bound(20)
-    monkeypatch.setattr("marjoramford.cold_starts.LEARNING_MEMBERS", 1)
+    monkeypatch.setattr("marjoramford.opaque_flows.cold_starts.LEARNING_MEMBERS", 1)
     assert start_fleet(20, 20, 3, hasty).most_in_second > bound(20)
 
 
--- a/tests/test_comparisons.py
+++ b/tests/test_comparisons.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from marjoramford.comparisons import ORACLE, REPORTS, measure_imbalance
+from marjoramford.evaluations.comparisons import ORACLE, REPORTS, measure_imbalance
 
 MAX_RATIO_TO_ORACLE = 1.10
 ONE_SEED = (1,)
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from marjoramford.addresses import Address
-from marjoramford.entry_vms import EntryVm
-from marjoramford.flow_dumps import dump_state
-from marjoramford.flow_metrics import render_flow_metrics
-from marjoramford.packets import Forward, ResetFlow
-from marjoramford.peer_groups import PeerGroup
-from marjoramford.server_lists import ListChanges
-from marjoramford.shared_evidence import PublishedEvidence, PublishedSilence
-from marjoramford.state_versions import StateVersion
+from marjoramford.opaque_flows.flow_dumps import dump_state
+from marjoramford.opaque_flows.flow_metrics import render_flow_metrics
+from marjoramford.opaque_flows.packets import Forward, ResetFlow
+from marjoramford.opaque_flows.peer_groups import PeerGroup
+from marjoramford.opaque_flows.server_lists import ListChanges
+from marjoramford.opaque_flows.shared_evidence import PublishedEvidence, PublishedSilence
+from marjoramford.opaque_flows.state_versions import StateVersion
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm
 
 from .evidence_zones import ENABLED
 from .flow_worlds import SETTINGS, START, FlowWorld, record
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -6,13 +6,13 @@
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
-from marjoramford.addresses import Address
-from marjoramford.balancers import Balancer, Identity
-from marjoramford.controls import MAX_BODY_BYTES, ControlServer
-from marjoramford.cores import Core
-from marjoramford.keys import KeyRing
-from marjoramford.seals import SEAL_HEADER, seal_header
-from marjoramford.settings import CoreSettings
+from marjoramford.shared.addresses import Address
+from marjoramford.token_flows.balancers import Balancer, Identity
+from marjoramford.token_flows.controls import MAX_BODY_BYTES, ControlServer
+from marjoramford.token_flows.cores import Core
+from marjoramford.token_flows.keys import KeyRing
+from marjoramford.token_flows.seals import SEAL_HEADER, seal_header
+from marjoramford.token_flows.settings import CoreSettings
 
 KEYS = KeyRing({1: b"k" * 16}, 1)
 OTHER_KEYS = KeyRing({1: b"o" * 16}, 1)
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -1,6 +1,6 @@
 """Queueing, dispatch and retries of requests at their coordinator."""
 
-from marjoramford.events import AnswerReceived, BrokenOff, ProvedNotRun, Tick
+from marjoramford.token_flows.events import AnswerReceived, BrokenOff, ProvedNotRun, Tick
 
 from .token_cores import NOW, TokenCore, dispatches
 
--- a/tests/test_decision_rule.py
+++ b/tests/test_decision_rule.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from marjoramford.addresses import Address
-from marjoramford.errors import InvariantViolationError
-from marjoramford.handovers import FlowState, restore_flow, snapshot_flow
-from marjoramford.invariants import Invariants
-from marjoramford.requests import (
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.errors import InvariantViolationError
+from marjoramford.token_flows.handovers import FlowState, restore_flow, snapshot_flow
+from marjoramford.token_flows.invariants import Invariants
+from marjoramford.token_flows.requests import (
     Answered,
     Dispatched,
     Flow,
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -11,11 +11,11 @@
 import pytest
 from aiohttp import web
 
-from marjoramford.actions import CancelDispatch, Dispatch
-from marjoramford.addresses import Address
-from marjoramford.dispatchers import Dispatcher
-from marjoramford.events import AnswerReceived, BrokenOff, ProvedNotRun
+from marjoramford.shared.addresses import Address
 from marjoramford.standins.ports import free_ports
+from marjoramford.token_flows.actions import CancelDispatch, Dispatch
+from marjoramford.token_flows.dispatchers import Dispatcher
+from marjoramford.token_flows.events import AnswerReceived, BrokenOff, ProvedNotRun
 
 DEADLINE = 1000.0
 BEFORE, AFTER = DEADLINE - 5.0, DEADLINE + 5.0
--- a/tests/test_drained_placement.py
+++ b/tests/test_drained_placement.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from marjoramford.overload_controls import are_slots_taken
-from marjoramford.packets import DropPacket, Forward, ResetFlow
-from marjoramford.placements import own_requests
+from marjoramford.opaque_flows.overload_controls import are_slots_taken
+from marjoramford.opaque_flows.packets import DropPacket, Forward, ResetFlow
+from marjoramford.opaque_flows.placements import own_requests
 
 from .flow_worlds import SETTINGS, FlowWorld, drain, record, upsert
 
--- a/tests/test_drained_zones.py
+++ b/tests/test_drained_zones.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from marjoramford.state_versions import StateVersion
+from marjoramford.opaque_flows.state_versions import StateVersion
 
 from .test_platform_packets import SERVER
 from .test_state_readers import filled_store, reader_of
--- a/tests/test_early_starts.py
+++ b/tests/test_early_starts.py
@@ -17,21 +17,26 @@
 import msgspec
 import pytest
 
-from marjoramford.addresses import Address
-from marjoramford.early_starts import EarlyClient, EarlyStart, ReloadRequest
-from marjoramford.errors import Step
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.flow_labels import derive_label
-from marjoramford.http_messages import HttpError, ReplyReader, RequestReader, encode_request
-from marjoramford.http_services import HttpResponse, serve_http
-from marjoramford.packet_daemons import PacketVm
-from marjoramford.packet_sockets import PacketSocket
+from marjoramford.opaque_flows.early_starts import EarlyClient, EarlyStart, ReloadRequest
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.flow_labels import derive_label
+from marjoramford.opaque_flows.http_messages import (
+    HttpError,
+    ReplyReader,
+    RequestReader,
+    encode_request,
+)
+from marjoramford.opaque_flows.http_services import HttpResponse, serve_http
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.packet_sockets import PacketSocket
+from marjoramford.opaque_flows.state_publishers import StatePublisher
 from marjoramford.platform.packets import PlatformCodec
 from marjoramford.platform.stores import StoreReader
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.errors import Step
 from marjoramford.standins.packet_endpoints import FLAG_ACK, Packet
 from marjoramford.standins.packet_stores import PacketStore
 from marjoramford.standins.ports import free_ports
-from marjoramford.state_publishers import StatePublisher
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, FlowWorld, record
 
--- a/tests/test_entry_vms.py
+++ b/tests/test_entry_vms.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from marjoramford.addresses import Address
-from marjoramford.entry_vms import Coordinator, EntryVm, EntryVms, Lost, MemberUpdate, Remote
-from marjoramford.records import VmRecord
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import Coordinator, EntryVm, EntryVms, Lost, MemberUpdate, Remote
+from marjoramford.shared.records import VmRecord
 
 NOW = 1000.0
 SUSPICION_SECONDS = 3.0
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -10,20 +10,20 @@
 import pytest
 from result import Ok
 
-from marjoramford.addresses import Address
-from marjoramford.errors import Step
-from marjoramford.http_calls import HttpClient
-from marjoramford.http_messages import HttpRequest
-from marjoramford.http_services import HttpResponse
-from marjoramford.packet_daemons import PacketVm, _make_collector
-from marjoramford.packets import FlowKey
-from marjoramford.published_states import PublishedState, encode_state
-from marjoramford.shared_evidence import (
+from marjoramford.opaque_flows.http_calls import HttpClient
+from marjoramford.opaque_flows.http_messages import HttpRequest
+from marjoramford.opaque_flows.http_services import HttpResponse
+from marjoramford.opaque_flows.packet_daemons import PacketVm, _make_collector
+from marjoramford.opaque_flows.packets import FlowKey
+from marjoramford.opaque_flows.published_states import PublishedState, encode_state
+from marjoramford.opaque_flows.shared_evidence import (
     EvidenceMessage,
     PublishedEvidence,
     PublishedSilence,
     ServerReport,
 )
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.errors import Step
 
 from .evidence_zones import ENABLED
 from .flow_worlds import (
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -7,22 +7,22 @@
 
 import pytest
 
-from marjoramford.actions import SendToCaller
-from marjoramford.backend_servers import BackendServers
-from marjoramford.choosers import RandomChoice
-from marjoramford.coordinators import RequestCoordinator
-from marjoramford.errors import InvariantViolationError
-from marjoramford.experiments import Experiment, ExperimentPlan
-from marjoramford.forwarders import Forwarder
-from marjoramford.messages import NotRun, encode
-from marjoramford.record_stores import RecordStore
-from marjoramford.records import KindRules
-from marjoramford.requests import Refused, RequestRecord
+from marjoramford.evaluations.experiments import Experiment, ExperimentPlan
+from marjoramford.shared.backend_servers import BackendServers
+from marjoramford.shared.errors import InvariantViolationError
+from marjoramford.shared.records import KindRules
 from marjoramford.standins.deployments import DEPLOYMENTS, GRIEVANCE, HERITAGE
 from marjoramford.standins.faults import PlatformStale, inject_fault
 from marjoramford.standins.schedules import START_EPOCH_SECONDS
 from marjoramford.standins.server_models import ServerModel
 from marjoramford.standins.worlds import World, WorldSettings
+from marjoramford.token_flows.actions import SendToCaller
+from marjoramford.token_flows.choosers import RandomChoice
+from marjoramford.token_flows.coordinators import RequestCoordinator
+from marjoramford.token_flows.forwarders import Forwarder
+from marjoramford.token_flows.messages import NotRun, encode
+from marjoramford.token_flows.record_stores import RecordStore
+from marjoramford.token_flows.requests import Refused, RequestRecord
 
 # With this seed both deployments lose replies to handovers during a planned stop.
 LOST_HANDOVER_REPLY_SEED = 16
--- a/tests/test_failure_detectors.py
+++ b/tests/test_failure_detectors.py
@@ -2,9 +2,14 @@
 
 import pytest
 
-from marjoramford.failure_detectors import ListStatus, LossDetector, OwnLinkMonitor, is_dead
-from marjoramford.flow_settings import SilenceSettings
-from marjoramford.responsiveness import Responsiveness
+from marjoramford.opaque_flows.failure_detectors import (
+    ListStatus,
+    LossDetector,
+    OwnLinkMonitor,
+    is_dead,
+)
+from marjoramford.opaque_flows.flow_settings import SilenceSettings
+from marjoramford.shared.responsiveness import Responsiveness
 
 SETTINGS = SilenceSettings()
 LISTED = ListStatus(None, False)
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -3,10 +3,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.flow_balancers import MAX_UNKNOWN_LABELS
-from marjoramford.flow_labels import LabelIndex, derive_label
-from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
-from marjoramford.routes import RouteTable
+from marjoramford.opaque_flows.flow_balancers import MAX_UNKNOWN_LABELS
+from marjoramford.opaque_flows.flow_labels import LabelIndex, derive_label
+from marjoramford.opaque_flows.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
+from marjoramford.opaque_flows.routes import RouteTable
 
 from .flow_worlds import (
     ROUTE_IP,
--- a/tests/test_flow_metrics.py
+++ b/tests/test_flow_metrics.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from marjoramford.addresses import Address
 from marjoramford.commands import Commands
 from marjoramford.deferrals import run_deferred
-from marjoramford.entry_vms import EntryVm
-from marjoramford.flow_dumps import dump_state
-from marjoramford.flow_metrics import render_flow_metrics
-from marjoramford.logs import LogEvent, NonBlockingHandler, PlainFormatter, log_event
-from marjoramford.peer_groups import PeerGroup
-from marjoramford.tables import render_zones
+from marjoramford.evaluations.tables import render_zones
+from marjoramford.opaque_flows.flow_dumps import dump_state
+from marjoramford.opaque_flows.flow_metrics import render_flow_metrics
+from marjoramford.opaque_flows.peer_groups import PeerGroup
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm
+from marjoramford.shared.logs import LogEvent, NonBlockingHandler, PlainFormatter, log_event
 
 from .flow_worlds import SETTINGS, FlowWorld, drain, record, removal, snapshot
 
--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from marjoramford.flow_settings import PacketVmSettings, read_packet_settings
+from marjoramford.opaque_flows.flow_settings import PacketVmSettings, read_packet_settings
 
 ROOT = Path(__file__).parent.parent
 GOOD = {
--- a/tests/test_followed_outages.py
+++ b/tests/test_followed_outages.py
@@ -11,11 +11,11 @@
 import msgspec
 import pytest
 
-from marjoramford import state_publishers
-from marjoramford.flow_settings import ListSettings
-from marjoramford.packets import Forward
-from marjoramford.published_states import apply_state, decode_state
-from marjoramford.state_publishers import StatePublisher
+from marjoramford.opaque_flows import state_publishers
+from marjoramford.opaque_flows.flow_settings import ListSettings
+from marjoramford.opaque_flows.packets import Forward
+from marjoramford.opaque_flows.published_states import apply_state, decode_state
+from marjoramford.opaque_flows.state_publishers import StatePublisher
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, upsert
 
--- a/tests/test_gossips.py
+++ b/tests/test_gossips.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from marjoramford.actions import SendGossip
-from marjoramford.events import Tick
-from marjoramford.gossips import MAX_LEASES, GossipMessage
-from marjoramford.limits import LimitRequest, Resource
+from marjoramford.token_flows.actions import SendGossip
+from marjoramford.token_flows.events import Tick
+from marjoramford.token_flows.gossips import MAX_LEASES, GossipMessage
+from marjoramford.token_flows.limits import LimitRequest, Resource
 
 from .token_cores import NOW, TokenCore
 
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from marjoramford.actions import CancelDispatch, DrainFinished, SendHandover
-from marjoramford.events import AnswerReceived, DrainRequested, HandoverReplied, Tick
-from marjoramford.handovers import HandoverReply
-from marjoramford.logs import LogEvent
-from marjoramford.messages import Answer, CoordinatorLost, NotRun, OutcomeUnknown
+from marjoramford.shared.logs import LogEvent
+from marjoramford.token_flows.actions import CancelDispatch, DrainFinished, SendHandover
+from marjoramford.token_flows.events import AnswerReceived, DrainRequested, HandoverReplied, Tick
+from marjoramford.token_flows.handovers import HandoverReply
+from marjoramford.token_flows.messages import Answer, CoordinatorLost, NotRun, OutcomeUnknown
 
 from .token_cores import NOW, TokenCore, dispatches, messages
 
@@ -35,7 +35,7 @@
         if event is LogEvent.DRAIN_FINISHED:
             logged.append(fields)
 
-    monkeypatch.setattr("marjoramford.handovers.log_event", log)
+    monkeypatch.setattr("marjoramford.token_flows.handovers.log_event", log)
     return logged
 
 
--- a/tests/test_idle_flow_resets.py
+++ b/tests/test_idle_flow_resets.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from marjoramford.flow_settings import SharedEvidenceSettings
+from marjoramford.opaque_flows.flow_settings import SharedEvidenceSettings
 
 from .flow_worlds import SETTINGS, FlowWorld, record, removal
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramford.limits import LimitRequest, LimitShares, Resource, member_share
+from marjoramford.token_flows.limits import LimitRequest, LimitShares, Resource, member_share
 
 HOLD = 10.0
 NOW = 1000.0
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -11,19 +11,19 @@
 import msgspec
 import pytest
 
-from marjoramford.addresses import Address
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_messages import HttpRequest
-from marjoramford.http_services import HttpResponse
-from marjoramford.packet_daemons import PacketVm
-from marjoramford.peer_groups import FollowPeer
-from marjoramford.published_states import PublishedState, apply_state, decode_state
-from marjoramford.records import VmRecord
-from marjoramford.routes import Route, RouteChanges, RouteTable, WarmupLimit
-from marjoramford.server_lists import ListChanges
-from marjoramford.state_publishers import StatePublisher
-from marjoramford.state_versions import StateVersion
-from marjoramford.zone_drains import ZoneDrain
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.http_messages import HttpRequest
+from marjoramford.opaque_flows.http_services import HttpResponse
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.peer_groups import FollowPeer
+from marjoramford.opaque_flows.published_states import PublishedState, apply_state, decode_state
+from marjoramford.opaque_flows.routes import Route, RouteChanges, RouteTable, WarmupLimit
+from marjoramford.opaque_flows.server_lists import ListChanges
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.opaque_flows.state_versions import StateVersion
+from marjoramford.opaque_flows.zone_drains import ZoneDrain
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.records import VmRecord
 
 from .flow_worlds import SETTINGS, FlowWorld, record, route_table, snapshot, upsert
 from .test_state_readers import names, serve
--- a/tests/test_overload_controls.py
+++ b/tests/test_overload_controls.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from marjoramford.flow_settings import OverloadSettings
-from marjoramford.overload_controls import OverloadControl, are_slots_taken
-from marjoramford.packets import ResetFlow
-from marjoramford.routes import Route, RouteTable, WeightedService
+from marjoramford.opaque_flows.flow_settings import OverloadSettings
+from marjoramford.opaque_flows.overload_controls import OverloadControl, are_slots_taken
+from marjoramford.opaque_flows.packets import ResetFlow
+from marjoramford.opaque_flows.routes import Route, RouteTable, WeightedService
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, FlowWorld, record
 
--- a/tests/test_packet_comparisons.py
+++ b/tests/test_packet_comparisons.py
@@ -8,8 +8,7 @@
 
 import pytest
 
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.packet_comparisons import (
+from marjoramford.evaluations.packet_comparisons import (
     OUTAGE_AT_SECONDS,
     PATTERNS,
     SharedCountsBalancer,
@@ -18,12 +17,13 @@
     run_overload,
     run_pattern,
 )
-from marjoramford.packet_experiments import (
+from marjoramford.evaluations.packet_experiments import (
     WARMUP_SECONDS,
     WINDOW_SECONDS,
     PacketExperiment,
     PacketPlan,
 )
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.standins.packet_servers import SLOTS
 from marjoramford.standins.packet_worlds import PacketWorldSettings
--- a/tests/test_packet_daemons.py
+++ b/tests/test_packet_daemons.py
@@ -4,9 +4,9 @@
 import pytest
 from result import Err, Ok
 
-from marjoramford.errors import Step, StepError
-from marjoramford.flow_settings import StopSettings
-from marjoramford.packet_daemons import PacketVm
+from marjoramford.opaque_flows.flow_settings import StopSettings
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.shared.errors import Step, StepError
 
 from .flow_worlds import SETTINGS
 
@@ -18,7 +18,7 @@
     """Reloads settings; returns the entry VM and the fields of the logged event."""
     logged = []
     monkeypatch.setattr(
-        "marjoramford.packet_daemons.log_event",
+        "marjoramford.opaque_flows.packet_daemons.log_event",
         lambda _logger, _event, **fields: logged.append(fields),
     )
 
--- a/tests/test_packet_evidence.py
+++ b/tests/test_packet_evidence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marjoramford.flow_settings import SharedEvidenceSettings
+from marjoramford.opaque_flows.flow_settings import SharedEvidenceSettings
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.standins.packet_traffic import PacketTraffic
 from marjoramford.standins.packet_worlds import PacketWorld, PacketWorldSettings
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -12,18 +12,19 @@
 
 import pytest
 
-from marjoramford.backend_servers import BackendServer
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.packet_comparisons import (
+from marjoramford.evaluations.packet_comparisons import (
     DrainIgnoringBalancer,
     UnlimitedBalancer,
     run_with_faults,
 )
-from marjoramford.packet_experiments import PacketExperiment, PacketPlan
-from marjoramford.packets import FlowKey
+from marjoramford.evaluations.packet_experiments import PacketExperiment, PacketPlan
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.packets import FlowKey
+from marjoramford.opaque_flows.routes import Route
+from marjoramford.opaque_flows.server_lists import ServerList
+from marjoramford.opaque_flows.zone_drains import ZoneDrains, ZoneState
 from marjoramford.platform.packets import PlatformCodec
-from marjoramford.routes import Route
-from marjoramford.server_lists import ServerList
+from marjoramford.shared.backend_servers import BackendServer
 from marjoramford.standins.deployments import DEPLOYMENTS, GRIEVANCE, HERITAGE
 from marjoramford.standins.packet_endpoints import Packet
 from marjoramford.standins.packet_faults import (
@@ -44,7 +45,6 @@
     WorkItem,
 )
 from marjoramford.standins.packet_worlds import ROUTE_IP, FlowHash, PacketWorldSettings
-from marjoramford.zone_drains import ZoneDrains, ZoneState
 
 RUN_SECONDS = 20.0
 
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.packet_flows import PacketFlow, PacketFlowTable, sequence_distance
-from marjoramford.packets import FlowKey, PacketHeader
+from marjoramford.opaque_flows.packet_flows import PacketFlow, PacketFlowTable, sequence_distance
+from marjoramford.opaque_flows.packets import FlowKey, PacketHeader
 
 KEY = FlowKey(1, 2, 3, 4)
 DATA = 1200
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -9,8 +9,8 @@
 from pydantic import BaseModel
 
 from marjoramford.commands import Commands
-from marjoramford.logs import LogEvent
-from marjoramford.settings import EntryVmSettings
+from marjoramford.shared.logs import LogEvent
+from marjoramford.token_flows.settings import EntryVmSettings
 
 DOCS = Path(__file__).parent.parent / "docs"
 
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from marjoramford.addresses import Address
-from marjoramford.entry_vms import EntryVm, MemberUpdate
-from marjoramford.flow_settings import PeerSettings
-from marjoramford.peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
+from marjoramford.opaque_flows.flow_settings import PeerSettings
+from marjoramford.opaque_flows.peer_groups import FollowPeer, PauseReading, PeerGroup, ReadPlatform
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm, MemberUpdate
 
 NOW = 100.0
 SETTINGS = PeerSettings()
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from marjoramford.flow_settings import LoadReportSettings, OverloadSettings
-from marjoramford.load_exchanges import LoadExchange
-from marjoramford.overload_controls import OverloadControl, is_queue_full
-from marjoramford.packets import Forward, ResetFlow
-from marjoramford.peer_loads import LoadReport, PeerLoads, choose_receivers
-from marjoramford.routes import Route, RouteTable, WeightedService
+from marjoramford.opaque_flows.flow_settings import LoadReportSettings, OverloadSettings
+from marjoramford.opaque_flows.load_exchanges import LoadExchange
+from marjoramford.opaque_flows.overload_controls import OverloadControl, is_queue_full
+from marjoramford.opaque_flows.packets import Forward, ResetFlow
+from marjoramford.opaque_flows.peer_loads import LoadReport, PeerLoads, choose_receivers
+from marjoramford.opaque_flows.routes import Route, RouteTable, WeightedService
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, START, FlowWorld, record
 from .test_platform_borders import own_group
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -1,10 +1,10 @@
-"""Placement of new flows under the load patterns that `marjoramford.placements` describes."""
+"""Placement of new flows under the load patterns that `opaque_flows.placements` describes."""
 
 from collections import Counter
 from random import Random
 
-from marjoramford.flow_settings import PlacementSettings
-from marjoramford.placements import choose_server
+from marjoramford.opaque_flows.flow_settings import PlacementSettings
+from marjoramford.opaque_flows.placements import choose_server
 
 from .flow_worlds import START, FlowWorld, record
 
--- a/tests/test_platform_borders.py
+++ b/tests/test_platform_borders.py
@@ -11,21 +11,21 @@
 from hypothesis import strategies as st
 from result import Ok
 
-from marjoramford.addresses import Address
-from marjoramford.entry_vms import EntryVm
-from marjoramford.errors import Step
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient
-from marjoramford.http_messages import HttpReply, HttpRequest
-from marjoramford.http_services import HttpResponse, serve_http
-from marjoramford.packet_daemons import PacketVm
-from marjoramford.peer_groups import PeerGroup
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.http_calls import HttpClient
+from marjoramford.opaque_flows.http_messages import HttpReply, HttpRequest
+from marjoramford.opaque_flows.http_services import HttpResponse, serve_http
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.peer_groups import PeerGroup
+from marjoramford.opaque_flows.published_states import PublishedState
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.opaque_flows.state_readers import MemberExchange, StateReader, merge_members
 from marjoramford.platform.entries import StoreItem, decode_routes, decode_server
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import PublishedState
-from marjoramford.records import VmRecord
-from marjoramford.state_publishers import StatePublisher
-from marjoramford.state_readers import MemberExchange, StateReader, merge_members
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm
+from marjoramford.shared.errors import Step
+from marjoramford.shared.records import VmRecord
 
 from .flow_worlds import SETTINGS, FlowWorld, record
 from .test_platform_packets import CONFIG, SERVER
--- a/tests/test_platform_packets.py
+++ b/tests/test_platform_packets.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.addresses import Address
-from marjoramford.packets import FlowKey, Forward
+from marjoramford.opaque_flows.packets import FlowKey, Forward
+from marjoramford.opaque_flows.zone_drains import ZoneDrain
 from marjoramford.platform.entries import (
     StoreItem,
     check_drain_value,
@@ -20,7 +20,7 @@
     decode_server,
 )
 from marjoramford.platform.packets import PlatformCodec, server_number
-from marjoramford.zone_drains import ZoneDrain
+from marjoramford.shared.addresses import Address
 
 from .flow_worlds import FlowWorld, record
 
--- a/tests/test_published_states.py
+++ b/tests/test_published_states.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from marjoramford.http_messages import MAX_REPLY_BODY_BYTES
-from marjoramford.published_states import PublishedState, decode_state, encode_state
-from marjoramford.routes import Route, RouteChanges, WeightedService
+from marjoramford.opaque_flows.http_messages import MAX_REPLY_BODY_BYTES
+from marjoramford.opaque_flows.published_states import PublishedState, decode_state, encode_state
+from marjoramford.opaque_flows.routes import Route, RouteChanges, WeightedService
 
 FOLLOWERS = 17
 LINK_BYTES_PER_SECOND = 20e6 / 8
--- a/tests/test_read_cursors.py
+++ b/tests/test_read_cursors.py
@@ -6,15 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.logs import LogEvent
-from marjoramford.read_cursors import (
+from marjoramford.opaque_flows.read_cursors import (
     AnswerKind,
     ReadCursor,
     ReadEverything,
     RejectAnswer,
     UseAnswer,
 )
-from marjoramford.state_versions import StateVersion
+from marjoramford.opaque_flows.state_versions import StateVersion
+from marjoramford.shared.logs import LogEvent
 
 
 def cursor_at(era, revision):
--- a/tests/test_record_stores.py
+++ b/tests/test_record_stores.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.record_stores import RecordStore
 from marjoramford.standins.deployments import HERITAGE
+from marjoramford.token_flows.record_stores import RecordStore
 
 BASE = HERITAGE.services[0].entry("o", 1, 1)
 changes = st.lists(st.sampled_from(["a", "b", "c"]), min_size=1, max_size=12)
--- a/tests/test_reply_suppressors.py
+++ b/tests/test_reply_suppressors.py
@@ -1,9 +1,9 @@
 """Withheld replies on the minority side of a partition, and what is forgotten when it heals."""
 
-from marjoramford.addresses import Address
-from marjoramford.events import CallerDatagram, Tick
-from marjoramford.messages import Open, encode
-from marjoramford.reply_suppressors import SUPPRESSION_SECONDS
+from marjoramford.shared.addresses import Address
+from marjoramford.token_flows.events import CallerDatagram, Tick
+from marjoramford.token_flows.messages import Open, encode
+from marjoramford.token_flows.reply_suppressors import SUPPRESSION_SECONDS
 
 from .token_cores import NOW, SERVICE, TokenCore, messages
 
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
-from marjoramford import state_publishers
-from marjoramford.events import AnswerReceived, ProbeFailed, VmListRead
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.messages import Answer
-from marjoramford.published_states import apply_state, decode_state
-from marjoramford.records import VmRecord
-from marjoramford.state_publishers import StatePublisher
+from marjoramford.opaque_flows import state_publishers
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.published_states import apply_state, decode_state
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.shared.records import VmRecord
+from marjoramford.token_flows.events import AnswerReceived, ProbeFailed, VmListRead
+from marjoramford.token_flows.messages import Answer
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, snapshot
 from .token_cores import NOW, SERVICE, ZONE, TokenCore, dispatches, messages
--- a/tests/test_response_bodies.py
+++ b/tests/test_response_bodies.py
@@ -11,11 +11,11 @@
 import msgspec
 import pytest
 
-from marjoramford.actions import SendGossip, SendHandover
-from marjoramford.addresses import Address
-from marjoramford.balancers import Balancer, Identity, ProbeTarget
-from marjoramford.cores import Core
-from marjoramford.events import (
+from marjoramford.shared.addresses import Address
+from marjoramford.token_flows.actions import SendGossip, SendHandover
+from marjoramford.token_flows.balancers import Balancer, Identity, ProbeTarget
+from marjoramford.token_flows.cores import Core
+from marjoramford.token_flows.events import (
     CatalogueRead,
     GossipFailed,
     GossipReplied,
@@ -23,13 +23,13 @@
     LoadReported,
     ProbeFailed,
 )
-from marjoramford.keys import KeyRing
-from marjoramford.peers import MAX_REPLY_BYTES, PeerClient
-from marjoramford.probers import MAX_LOAD_BYTES, Prober
-from marjoramford.response_bodies import read_body
-from marjoramford.seals import seal_header
-from marjoramford.settings import CoreSettings, TimeSettings
-from marjoramford.watchers import MAX_PAGE_BYTES, Watcher
+from marjoramford.token_flows.keys import KeyRing
+from marjoramford.token_flows.peers import MAX_REPLY_BYTES, PeerClient
+from marjoramford.token_flows.probers import MAX_LOAD_BYTES, Prober
+from marjoramford.token_flows.response_bodies import read_body
+from marjoramford.token_flows.seals import seal_header
+from marjoramford.token_flows.settings import CoreSettings, TimeSettings
+from marjoramford.token_flows.watchers import MAX_PAGE_BYTES, Watcher
 
 KEYS = KeyRing({1: b"k" * 16}, 1)
 NOW = 1000.0
--- a/tests/test_restore_borders.py
+++ b/tests/test_restore_borders.py
@@ -11,18 +11,18 @@
 from hypothesis import strategies as st
 from result import Ok
 
-from marjoramford.addresses import Address
-from marjoramford.errors import Step
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient
-from marjoramford.http_messages import HttpReply, HttpRequest
-from marjoramford.packet_daemons import PacketVm
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.http_calls import HttpClient
+from marjoramford.opaque_flows.http_messages import HttpReply, HttpRequest
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.published_states import PublishedState, encode_state
+from marjoramford.opaque_flows.server_lists import ListChanges
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.opaque_flows.state_readers import StateReader
+from marjoramford.opaque_flows.state_versions import NOTHING_READ, StateVersion
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import PublishedState, encode_state
-from marjoramford.server_lists import ListChanges
-from marjoramford.state_publishers import StatePublisher
-from marjoramford.state_readers import StateReader
-from marjoramford.state_versions import NOTHING_READ, StateVersion
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.errors import Step
 
 from .flow_worlds import SETTINGS, record, route_table, snapshot
 from .restore_models import StoreModel, Write
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -6,7 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.routes import Route, RouteHistory, RouteTable, WarmupLimit, WeightedService
+from marjoramford.opaque_flows.routes import (
+    Route,
+    RouteHistory,
+    RouteTable,
+    WarmupLimit,
+    WeightedService,
+)
 
 
 def route(port, service="a"):
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -6,10 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.flow_settings import ListSettings
-from marjoramford.logs import LogEvent
-from marjoramford.server_lists import MAX_REMOVALS, ServerList
-from marjoramford.state_versions import NOTHING_READ, StateVersion
+from marjoramford.opaque_flows.flow_settings import ListSettings
+from marjoramford.opaque_flows.server_lists import MAX_REMOVALS, ServerList
+from marjoramford.opaque_flows.state_versions import NOTHING_READ, StateVersion
+from marjoramford.shared.logs import LogEvent
 
 from .flow_worlds import START, record, removal, snapshot, upsert
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,9 +5,9 @@
 
 import yaml
 
-from marjoramford.settings import read_settings
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.standins.sites import plan_site
+from marjoramford.token_flows.settings import read_settings
 
 SITE = plan_site(HERITAGE)
 
--- a/tests/test_shared_evidence.py
+++ b/tests/test_shared_evidence.py
@@ -3,8 +3,7 @@
 import msgspec
 import pytest
 
-from marjoramford.json_bodies import decode_json
-from marjoramford.shared_evidence import (
+from marjoramford.opaque_flows.shared_evidence import (
     EvidenceCollector,
     EvidenceMessage,
     LocalSilence,
@@ -12,6 +11,7 @@
     ReportLog,
     ServerReport,
 )
+from marjoramford.shared.json_bodies import decode_json
 
 from .evidence_zones import ENABLED, EvidenceZone
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Ok
 
-from marjoramford.http_messages import HttpReply
+from marjoramford.opaque_flows.http_messages import HttpReply
 from marjoramford.platform.packets import FLAG_SYN
 from marjoramford.standins.packet_callers import AttemptOutcome, CallerFlow
 from marjoramford.standins.packet_endpoints import FLAG_ACK, Packet
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -11,14 +11,14 @@
 import msgspec
 from result import Err, Ok
 
-from marjoramford.errors import Step, StepError
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.flow_labels import derive_label
-from marjoramford.http_messages import HttpReply
-from marjoramford.packets import DropPacket, FlowKey, Forward, PacketHeader
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.flow_labels import derive_label
+from marjoramford.opaque_flows.http_messages import HttpReply
+from marjoramford.opaque_flows.packets import DropPacket, FlowKey, Forward, PacketHeader
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.opaque_flows.state_readers import StateReader
 from marjoramford.platform.stores import StoreReader
-from marjoramford.state_publishers import StatePublisher
-from marjoramford.state_readers import StateReader
+from marjoramford.shared.errors import Step, StepError
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, record, snapshot
 from .test_platform_borders import own_group
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -7,20 +7,20 @@
 import msgspec
 import pytest
 
-from marjoramford.addresses import Address
-from marjoramford.entry_vms import EntryVm
-from marjoramford.errors import Step
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient
-from marjoramford.http_services import HttpResponse, serve_http
-from marjoramford.peer_groups import PeerGroup
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.http_calls import HttpClient
+from marjoramford.opaque_flows.http_services import HttpResponse, serve_http
+from marjoramford.opaque_flows.peer_groups import PeerGroup
+from marjoramford.opaque_flows.published_states import PublishedState, apply_state
+from marjoramford.opaque_flows.routes import RouteTable
+from marjoramford.opaque_flows.state_publishers import StatePublisher
+from marjoramford.opaque_flows.state_readers import MemberExchange, StateReader
+from marjoramford.opaque_flows.state_versions import NOTHING_READ
 from marjoramford.platform.stores import StoreReader
-from marjoramford.published_states import PublishedState, apply_state
-from marjoramford.routes import RouteTable
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm
+from marjoramford.shared.errors import Step
 from marjoramford.standins.packet_stores import PacketStore
-from marjoramford.state_publishers import StatePublisher
-from marjoramford.state_readers import MemberExchange, StateReader
-from marjoramford.state_versions import NOTHING_READ
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, route_table
 from .test_platform_packets import CONFIG, SERVER
@@ -261,7 +261,7 @@
         groups = {}
 
         async def answer(request):
-            from marjoramford.state_readers import merge_members
+            from marjoramford.opaque_flows.state_readers import merge_members
 
             assert merge_members(groups["seed"], request.body)
             return HttpResponse(200, msgspec.json.encode(groups["seed"].select_updates()))
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -13,16 +13,16 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from marjoramford.addresses import Address
-from marjoramford.errors import Step, StepError
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.http_calls import HttpClient
-from marjoramford.http_messages import HttpReply, HttpRequest
-from marjoramford.logs import LogEvent
-from marjoramford.packet_daemons import PacketVm
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.http_calls import HttpClient
+from marjoramford.opaque_flows.http_messages import HttpReply, HttpRequest
+from marjoramford.opaque_flows.packet_daemons import PacketVm
+from marjoramford.opaque_flows.state_versions import StateVersion
 from marjoramford.platform.stores import StoreReader
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.errors import Step, StepError
+from marjoramford.shared.logs import LogEvent
 from marjoramford.standins.packet_stores import PacketStore
-from marjoramford.state_versions import StateVersion
 
 from .flow_worlds import SETTINGS, FlowWorld, record, removal, snapshot, upsert
 from .test_platform_packets import CONFIG, SERVER
--- a/tests/test_zone_drains.py
+++ b/tests/test_zone_drains.py
@@ -7,11 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.flow_settings import ListSettings
-from marjoramford.logs import LogEvent
-from marjoramford.server_lists import ListChanges, ServerList
-from marjoramford.state_versions import StateVersion
-from marjoramford.zone_drains import MAX_ZONES, ZoneDrain
+from marjoramford.opaque_flows.flow_settings import ListSettings
+from marjoramford.opaque_flows.server_lists import ListChanges, ServerList
+from marjoramford.opaque_flows.state_versions import StateVersion
+from marjoramford.opaque_flows.zone_drains import MAX_ZONES, ZoneDrain
+from marjoramford.shared.logs import LogEvent
 
 from .flow_worlds import START, record, snapshot, upsert
 
--- a/tests/token_cores.py
+++ b/tests/token_cores.py
@@ -5,14 +5,14 @@
 
 import msgspec
 
-from marjoramford.actions import Dispatch, SendToCaller
-from marjoramford.addresses import Address
-from marjoramford.balancers import Balancer, Identity
-from marjoramford.events import CallerDatagram, CatalogueRead, DispatchEnded, VmListRead
-from marjoramford.keys import KeyRing
-from marjoramford.messages import Open, Request, decode_from_entry_vm, encode
-from marjoramford.records import CatalogueEntry, KindRules, VmRecord
-from marjoramford.settings import CoreSettings
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.records import CatalogueEntry, KindRules, VmRecord
+from marjoramford.token_flows.actions import Dispatch, SendToCaller
+from marjoramford.token_flows.balancers import Balancer, Identity
+from marjoramford.token_flows.events import CallerDatagram, CatalogueRead, DispatchEnded, VmListRead
+from marjoramford.token_flows.keys import KeyRing
+from marjoramford.token_flows.messages import Open, Request, decode_from_entry_vm, encode
+from marjoramford.token_flows.settings import CoreSettings
 
 NOW = 1000.0
 SERVICE = "booking"
--- a/tools/measure_ablation.py
+++ b/tools/measure_ablation.py
@@ -18,9 +18,9 @@
 import fire
 import msgspec
 
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.logs import configure_logging
-from marjoramford.packet_comparisons import PATTERNS, run_overload, run_pattern
+from marjoramford.evaluations.packet_comparisons import PATTERNS, run_overload, run_pattern
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.shared.logs import configure_logging
 
 TEMPLATE = Path("deploy/entry-vm.json")
 # Settings without each mechanism.
--- a/tools/measure_cold_starts.py
+++ b/tools/measure_cold_starts.py
@@ -6,7 +6,7 @@
 from itertools import product
 from random import Random
 
-from marjoramford.cold_start_comparisons import (
+from marjoramford.evaluations.cold_start_comparisons import (
     Grants,
     Holders,
     Policy,
@@ -14,8 +14,8 @@
     count_openings,
     start_fleet,
 )
-from marjoramford.flow_settings import ColdStartSettings
-from marjoramford.logs import configure_logging
+from marjoramford.opaque_flows.flow_settings import ColdStartSettings
+from marjoramford.shared.logs import configure_logging
 
 ENTRY_VMS = (7, 70, 195, 300)
 LIMITS = (1, 5, 20)
--- a/tools/measure_dead_servers.py
+++ b/tools/measure_dead_servers.py
@@ -12,8 +12,8 @@
 from itertools import product
 from statistics import median
 
-from marjoramford.flow_settings import SharedEvidenceSettings
-from marjoramford.logs import configure_logging
+from marjoramford.opaque_flows.flow_settings import SharedEvidenceSettings
+from marjoramford.shared.logs import configure_logging
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.standins.packet_faults import ENTRY_EXPIRY_SECONDS
 from marjoramford.standins.packet_traffic import PacketRequest, PacketTraffic
--- a/tools/measure_drains.py
+++ b/tools/measure_drains.py
@@ -8,7 +8,7 @@
 
 from measure_restores import SEEDS, WORKERS, find_percentile
 
-from marjoramford.logs import configure_logging
+from marjoramford.shared.logs import configure_logging
 from marjoramford.standins.drain_drills import DrainDrill, run_drain_drill
 from marjoramford.standins.restore_drills import POLL_SECONDS, DrillPlan
 
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -28,16 +28,16 @@
     update_table,
 )
 
-from marjoramford.addresses import Address
-from marjoramford.entry_vms import EntryVm, MemberUpdate
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.flow_settings import PacketVmSettings, PeerSettings
-from marjoramford.packets import FlowKey, PacketHeader
-from marjoramford.peer_groups import PeerGroup, count_readers
-from marjoramford.records import VmRecord
-from marjoramford.routes import Route, RouteTable, WeightedService
-from marjoramford.server_lists import ListChanges
-from marjoramford.state_versions import StateVersion
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.flow_settings import PacketVmSettings, PeerSettings
+from marjoramford.opaque_flows.packets import FlowKey, PacketHeader
+from marjoramford.opaque_flows.peer_groups import PeerGroup, count_readers
+from marjoramford.opaque_flows.routes import Route, RouteTable, WeightedService
+from marjoramford.opaque_flows.server_lists import ListChanges
+from marjoramford.opaque_flows.state_versions import StateVersion
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.entry_vms import EntryVm, MemberUpdate
+from marjoramford.shared.records import VmRecord
 
 ROOT = Path(__file__).parent.parent
 RESULTS_FILE = ROOT / "docs" / "measurements" / "flows.json"
--- a/tools/measure_overload.py
+++ b/tools/measure_overload.py
@@ -9,9 +9,13 @@
 from itertools import product
 from statistics import mean
 
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.logs import configure_logging
-from marjoramford.packet_comparisons import SharedCountsBalancer, UncontrolledBalancer, run_overload
+from marjoramford.evaluations.packet_comparisons import (
+    SharedCountsBalancer,
+    UncontrolledBalancer,
+    run_overload,
+)
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.shared.logs import configure_logging
 
 SEEDS = (1, 2, 3)
 DEPLOYMENTS = ("heritage", "grievance")
--- a/tools/measure_placements.py
+++ b/tools/measure_placements.py
@@ -4,8 +4,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
 
-from marjoramford.logs import configure_logging
-from marjoramford.packet_comparisons import PATTERNS, POLICIES, measure_policy
+from marjoramford.evaluations.packet_comparisons import PATTERNS, POLICIES, measure_policy
+from marjoramford.shared.logs import configure_logging
 
 SEEDS = tuple(range(1, 13))
 DEPLOYMENT = "grievance"
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -7,7 +7,7 @@
 import fire
 import matplotlib.pyplot as plt
 
-from marjoramford.comparisons import ORACLE, REPORTS, Imbalance, measure_imbalance
+from marjoramford.evaluations.comparisons import ORACLE, REPORTS, Imbalance, measure_imbalance
 
 
 def measure(
--- a/tools/measure_restore_losses.py
+++ b/tools/measure_restore_losses.py
@@ -7,9 +7,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
 
-from marjoramford.logs import configure_logging
-from marjoramford.packet_comparisons import run_with_faults
-from marjoramford.packet_experiments import PacketPlan
+from marjoramford.evaluations.packet_comparisons import run_with_faults
+from marjoramford.evaluations.packet_experiments import PacketPlan
+from marjoramford.shared.logs import configure_logging
 from marjoramford.standins.deployments import DEPLOYMENTS
 from marjoramford.standins.packet_faults import CrashServer, KillAllVms, RestoreStore, StopStore
 
--- a/tools/measure_restores.py
+++ b/tools/measure_restores.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from marjoramford.flow_settings import PeerSettings
-from marjoramford.logs import configure_logging
-from marjoramford.peer_groups import count_readers
-from marjoramford.published_states import PublishedState
-from marjoramford.routes import RouteChanges
+from marjoramford.opaque_flows.flow_settings import PeerSettings
+from marjoramford.opaque_flows.peer_groups import count_readers
+from marjoramford.opaque_flows.published_states import PublishedState
+from marjoramford.opaque_flows.routes import RouteChanges
+from marjoramford.shared.logs import configure_logging
 from marjoramford.standins.restore_drills import Course, DrillPlan, DrillReport, run_drill
 
 SEEDS = tuple(range(1, 21))
--- a/tools/measure_switches.py
+++ b/tools/measure_switches.py
@@ -5,10 +5,10 @@
 
 import fire
 
-from marjoramford.experiments import Experiment, ExperimentPlan
-from marjoramford.settings import CoreSettings
+from marjoramford.evaluations.experiments import Experiment, ExperimentPlan
 from marjoramford.standins.deployments import DEPLOYMENTS
 from marjoramford.standins.worlds import WorldSettings
+from marjoramford.token_flows.settings import CoreSettings
 
 NO_RETRIES = {"load": {"retry_share": 0.0, "retry_burst": 1.0}}
 UNLIMITED_RETRIES = {"load": {"retry_share": 1.0, "retry_burst": 10_000.0}}
--- a/tools/measure_zone_returns.py
+++ b/tools/measure_zone_returns.py
@@ -13,14 +13,14 @@
 
 import matplotlib.pyplot as plt
 
-from marjoramford.flow_balancers import FlowBalancer
-from marjoramford.logs import configure_logging
-from marjoramford.packet_comparisons import (
+from marjoramford.evaluations.packet_comparisons import (
     DrainIgnoringBalancer,
     UnlimitedBalancer,
     run_with_faults,
 )
-from marjoramford.packet_experiments import WARMUP_SECONDS, PacketPlan
+from marjoramford.evaluations.packet_experiments import WARMUP_SECONDS, PacketPlan
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.shared.logs import configure_logging
 from marjoramford.standins.deployments import HERITAGE, Deployment
 from marjoramford.standins.packet_checkers import WARMUP_OVERAGE, WARMUP_SLACK
 from marjoramford.standins.packet_faults import DrainZone, PacketFault, StopZoneServers
