Requests of flows that moved to another entry VM are no longer counted

Change: a waiting flow without a packet for 2 s, longer than callers wait between retransmissions, is not counted.

--- a/marjoramford/opaque_flows/flow_balancers.py
+++ b/marjoramford/opaque_flows/flow_balancers.py
@@ -707,8 +707,11 @@
             flow.counted_in_progress = True
             flow.server.in_progress += 1
         elif not busy and flow.counted_in_progress:
-            flow.counted_in_progress = False
-            flow.server.in_progress -= 1
+            self._stop_counting(flow)
+
+    def _stop_counting(self, flow: PacketFlow) -> None:
+        flow.counted_in_progress = False
+        flow.server.in_progress -= 1
 
     def _add_flow(self, flow: PacketFlow) -> None:
         evicted = self._flows.add(flow)
@@ -725,12 +728,14 @@
         if not flow.closing:
             flow.server.open_flows -= 1
         if flow.counted_in_progress:
-            flow.counted_in_progress = False
-            flow.server.in_progress -= 1
+            self._stop_counting(flow)
 
     def _reset_flows_of_dead_servers(self, now: float) -> list[FlowReset]:
         resets = []
         for flow in list(self._flows):
+            if flow.counted_in_progress and flow.is_stale(now):
+                # The answer comes through another entry VM, which counts the request now.
+                self._stop_counting(flow)
             if flow.opening or flow.waiting_since is None:
                 continue
             if self._is_dead(flow, now):
--- a/marjoramford/opaque_flows/load_exchanges.py
+++ b/marjoramford/opaque_flows/load_exchanges.py
@@ -96,13 +96,13 @@
         try:
             report = msgspec.msgpack.decode(payload, type=LoadReport)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            return self._reject(str(error))
+            self._balancer.counters["load_reports_rejected"] += 1
+            log_event(logger, LogEvent.CONTROL_BODY_REJECTED, reason=str(error))
+            return False
         vm = self._group.entry_vms.get(report.sender)
         if vm is None or (vm.control_address.host, vm.incarnation) != (host, report.incarnation):
-            return self._reject(f"sender {report.sender!r} at {host} is not known")
+            # Usually one of the two has just started.
+            self._balancer.counters["load_reports_rejected"] += 1
+            logger.debug("load report of unknown sender %r at %s", report.sender, host)
+            return False
         return self._balancer.peer_loads.record(report, time.monotonic())
-
-    def _reject(self, reason: str) -> bool:
-        self._balancer.counters["load_reports_rejected"] += 1
-        log_event(logger, LogEvent.CONTROL_BODY_REJECTED, reason=reason)
-        return False
