--- a/marjoramford/evaluations/packet_comparisons.py
+++ b/marjoramford/evaluations/packet_comparisons.py
@@ -9,8 +9,10 @@
 
 import msgspec
 
+from ..opaque_flows.flow_admissions import FlowAdmission
 from ..opaque_flows.flow_balancers import FlowBalancer
 from ..opaque_flows.flow_settings import PacketVmSettings
+from ..opaque_flows.installed_routes import InstalledRoutes
 from ..opaque_flows.routes import Route, RouteTable
 from ..opaque_flows.server_lists import ListChanges, ServerList
 from ..shared.backend_servers import BackendServer
@@ -33,17 +35,18 @@
 MAX_REQUESTS_PER_SERVER = 3
 
 
-class RandomBalancer(FlowBalancer):
+class RandomAdmission(FlowAdmission):
     """Baseline: opens flows at a random server that accepts work."""
 
-    def _place(
+    def place(
         self, service: str, avoided: tuple[BackendServer, ...], now: float
     ) -> BackendServer | None:
-        usable = [s for s in self.server_list.servers.of_service(service) if s.accepts_work]
+        """Returns any server that accepts work."""
+        usable = [s for s in self._server_list.servers.of_service(service) if s.accepts_work]
         return self._random.choice(usable) if usable else None
 
 
-class OracleBalancer(FlowBalancer):
+class OracleAdmission(FlowAdmission):
     """Upper bound: opens flows at the running server with the fewest requests.
 
     It reads the true load from the simulation, which no real entry VM can know.
@@ -54,13 +57,14 @@
 
     world: PacketWorld
 
-    def _place(
+    def place(
         self, service: str, avoided: tuple[BackendServer, ...], now: float
     ) -> BackendServer | None:
+        """Returns the running server with the fewest requests."""
         servers = self.world.servers
         usable = [
             server
-            for server in self.server_list.servers.of_service(service)
+            for server in self._server_list.servers.of_service(service)
             if server.accepts_work and servers[server.name].alive
         ]
         if not usable:
@@ -69,13 +73,56 @@
         return choose_near_lowest(usable, loads, 0, self._random)
 
 
-class UncontrolledBalancer(FlowBalancer):
+class UncontrolledAdmission(FlowAdmission):
     """Baseline: refuses no new flow for overload."""
 
-    def _refuses_for_overload(self, service: str, route: Route, now: float) -> bool:
+    def refuses(self, service: str, route: Route, now: float) -> bool:
+        """Returns False."""
         return False
 
 
+class SharedCountsAdmission(OracleAdmission):
+    """Upper bound under overload: knows the requests in progress through all entry VMs.
+
+    New flows open at the server with the fewest requests, and are refused while each server has
+    `MAX_REQUESTS_PER_SERVER`. Requests on open flows are forwarded, as everywhere.
+
+    Attributes:
+        exchange_seconds: greatest age of what it knows of the other entry VMs.
+    """
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self.exchange_seconds = 0.0
+        self._exchange_due_at = float("-inf")
+        self._others: Counter[str] = Counter()
+
+    def refuses(self, service: str, route: Route, now: float) -> bool:
+        """Returns whether each server has too many requests."""
+        usable = [s for s in self._server_list.servers.of_service(service) if s.accepts_work]
+        counts = self._count_requests(usable, now)
+        return bool(counts) and min(counts) >= MAX_REQUESTS_PER_SERVER
+
+    def place(
+        self, service: str, avoided: tuple[BackendServer, ...], now: float
+    ) -> BackendServer | None:
+        """Returns the server with the fewest known requests."""
+        usable = [s for s in self._server_list.servers.of_service(service) if s.accepts_work]
+        if not usable:
+            return None
+        return choose_near_lowest(usable, self._count_requests(usable, now), 0, self._random)
+
+    def _count_requests(self, servers: Sequence[BackendServer], now: float) -> list[int]:
+        if now >= self._exchange_due_at:
+            self._exchange_due_at = now + self.exchange_seconds
+            self._others = Counter()
+            for vm in self.world.vms:
+                if vm.balancer is not None and vm.balancer.admission is not self:
+                    for server in vm.balancer.server_list.servers.values():
+                        self._others[server.name] += server.in_progress
+        return [server.in_progress + self._others[server.name] for server in servers]
+
+
 class DrainIgnoringList(ServerList):
     """A server list that takes no zone as drained."""
 
@@ -84,64 +131,58 @@
         return super().apply(msgspec.structs.replace(changes, drains=()), now)
 
 
-class UnlimitedBalancer(FlowBalancer):
-    """Baseline: opens flows at cold servers without a limit."""
+class UnlimitedRoutes(InstalledRoutes):
+    """Routes without limits for cold servers."""
 
-    def apply_routes(self, table: RouteTable) -> None:
-        """Puts a route table in force without its limits for cold servers."""
-        super().apply_routes(
-            RouteTable(table.version, table.routes(), table.idle_timeout, table.era)
-        )
+    def apply(self, table: RouteTable, has_limits: bool = True) -> None:
+        """Puts a route table in force without its limits."""
+        super().apply(RouteTable(table.version, table.routes(), table.idle_timeout, table.era))
 
 
-class DrainIgnoringBalancer(UnlimitedBalancer):
-    """Baseline: also opens flows at servers of drained zones."""
+class RandomBalancer(FlowBalancer):
+    """Baseline: opens flows at a random server that accepts work."""
 
-    def __init__(self, settings: PacketVmSettings, random: Random, now: float):
-        super().__init__(settings, random, now)
-        self.server_list = DrainIgnoringList(settings.servers)
+    admission_type = RandomAdmission
 
 
-class SharedCountsBalancer(OracleBalancer):
-    """Upper bound under overload: knows the requests in progress through all entry VMs.
+class OracleBalancer(FlowBalancer):
+    """Upper bound: opens flows at the running server with the fewest requests."""
 
-    New flows open at the server with the fewest requests, and are refused while each server has
-    `MAX_REQUESTS_PER_SERVER`. Requests on open flows are forwarded, as everywhere.
+    admission_type = OracleAdmission
+
+
+class UncontrolledBalancer(FlowBalancer):
+    """Baseline: refuses no new flow for overload."""
+
+    admission_type = UncontrolledAdmission
+
+
+class SharedCountsBalancer(FlowBalancer):
+    """Upper bound under overload: knows the requests in progress through all entry VMs.
 
     Args:
         exchange_seconds: greatest age of what it knows of the other entry VMs.
     """
 
+    admission_type = SharedCountsAdmission
+
     def __init__(
         self, settings: PacketVmSettings, random: Random, now: float, exchange_seconds: float = 0.0
     ):
         super().__init__(settings, random, now)
-        self._exchange_seconds = exchange_seconds
-        self._exchange_due_at = now
-        self._others: Counter[str] = Counter()
+        self.admission.exchange_seconds = exchange_seconds
 
-    def _refuses_for_overload(self, service: str, route: Route, now: float) -> bool:
-        usable = [s for s in self.server_list.servers.of_service(service) if s.accepts_work]
-        counts = self._count_requests(usable, now)
-        return bool(counts) and min(counts) >= MAX_REQUESTS_PER_SERVER
 
-    def _place(
-        self, service: str, avoided: tuple[BackendServer, ...], now: float
-    ) -> BackendServer | None:
-        usable = [s for s in self.server_list.servers.of_service(service) if s.accepts_work]
-        if not usable:
-            return None
-        return choose_near_lowest(usable, self._count_requests(usable, now), 0, self._random)
+class UnlimitedBalancer(FlowBalancer):
+    """Baseline: opens flows at cold servers without a limit."""
 
-    def _count_requests(self, servers: Sequence[BackendServer], now: float) -> list[int]:
-        if now >= self._exchange_due_at:
-            self._exchange_due_at = now + self._exchange_seconds
-            self._others = Counter()
-            for vm in self.world.vms:
-                if vm.balancer is not None and vm.balancer is not self:
-                    for server in vm.balancer.server_list.servers.values():
-                        self._others[server.name] += server.in_progress
-        return [server.in_progress + self._others[server.name] for server in servers]
+    routes_type = UnlimitedRoutes
+
+
+class DrainIgnoringBalancer(UnlimitedBalancer):
+    """Baseline: also opens flows at servers of drained zones."""
+
+    list_type = DrainIgnoringList
 
 
 POLICIES: dict[str, type[FlowBalancer]] = {
@@ -206,7 +247,7 @@
         target_seconds=OVERLOAD_TARGET_SECONDS, make_balancer=make_balancer
     )
     experiment = PacketExperiment(plan, settings)
-    OracleBalancer.world = experiment.world
+    OracleAdmission.world = experiment.world
     return experiment.run()
 
 
@@ -214,7 +255,7 @@
     """Runs one experiment and returns its results."""
     plan = PacketPlan(DEPLOYMENTS[deployment], seed, RUN_SECONDS, pattern.faults, pattern.load)
     experiment = PacketExperiment(plan, PacketWorldSettings(make_balancer=make_balancer))
-    OracleBalancer.world = experiment.world
+    OracleAdmission.world = experiment.world
     if pattern.outage:
         _schedule_fault(experiment.world, OUTAGE_AT_SECONDS, KillAllVms())
     return experiment.run()
--- a/marjoramford/opaque_flows/evidence_exchanges.py
+++ b/marjoramford/opaque_flows/evidence_exchanges.py
@@ -68,7 +68,7 @@
         peers = self._settings.peers
         match result:
             case Ok(reply) if reply.status == 200:
-                self._balancer.record_call(now, time.monotonic())
+                self._balancer.evidence.record_call(now, time.monotonic())
                 return
             case Ok(reply):
                 # It is of an older build, or does not know this entry VM yet.
@@ -144,20 +144,22 @@
     def advance(self, now: float) -> None:
         """Starts the calls that are due, and decides anew."""
         balancer = self._balancer
-        silences = balancer.find_silences(now)
-        objections = balancer.find_objections(now)
+        silences = balancer.evidence.find_silences(now)
+        objections = balancer.evidence.find_objections(now)
         logs = [self._own_log, *(link.log for link in self._links.values())]
         if silences or objections or not all(log.is_empty for log in logs):
             reads_platform, readers = self._group.find_report_targets(now)
             if reads_platform:
-                reports = self._own_log.select(silences, objections, balancer.find_answer, now)
+                reports = self._own_log.select(
+                    silences, objections, balancer.evidence.find_answer, now
+                )
                 if reports:
                     self._collector.record(self._make_message(reports), now)
             self._keep_links(readers)
             for link in self._links.values():
                 if link.is_busy or now < link.next_call_at:
                     continue
-                reports = link.log.select(silences, objections, balancer.find_answer, now)
+                reports = link.log.select(silences, objections, balancer.evidence.find_answer, now)
                 if reports:
                     link.next_call_at = now + self._settings.shared_evidence.call_seconds
                     balancer.counters["evidence_reports_sent"] += len(reports)
@@ -190,12 +192,12 @@
         if was_reader and not self._is_reader and self._collector.discard():
             self._publisher.notify()
         members = self._group.list_members()
-        if self._collector.evaluate(self._balancer.is_running, members, now):
+        if self._collector.evaluate(self._balancer.evidence.is_running, members, now):
             self._publisher.notify()
         elif not self._collector.version:
             return
         if self._is_reader:
-            self._balancer.apply_evidence(self._collector.publish(now), now)
+            self._balancer.evidence.apply(self._collector.publish(now), now)
 
     def _keep_links(self, readers: list[Address]) -> None:
         """Keeps links to the present readers only."""
--- a/marjoramford/opaque_flows/flow_dumps.py
+++ b/marjoramford/opaque_flows/flow_dumps.py
@@ -37,7 +37,7 @@
             {"flow": str(flow.key), "server": flow.server.name, "opening": flow.opening}
             for flow in list(balancer.flows)[:MAX_DUMPED_FLOWS]
         ],
-        "refusal_levels": balancer.refusal_levels,
+        "refusal_levels": balancer.admission.refusal_levels,
         "counters": dict(balancer.counters),
     }
     return msgspec.json.encode(dump)
@@ -77,9 +77,9 @@
         "doubted": evidence.suspected_until > now,
     }
     if server.warm_at > now:
-        limit = balancer.warmup_limit(server.service)
-        share = balancer.cold_starts.describe(server, limit, now)
+        limit = balancer.admission.warmup_limit(server.service)
+        share = balancer.admission.cold_starts.describe(server, limit, now)
         description["cold"] = {"seconds_left": round(server.warm_at - now, 2), **share}
-    if balancer.shares_evidence:
-        description["condemned"] = balancer.is_condemned(server, now)
+    if balancer.evidence.is_shared:
+        description["condemned"] = balancer.evidence.is_condemned(server, now)
     return description
--- a/marjoramford/opaque_flows/flow_metrics.py
+++ b/marjoramford/opaque_flows/flow_metrics.py
@@ -29,8 +29,8 @@
         yield make_gauge("list_era", "Era of the server list", balancer.server_list.version.era)
         version = balancer.routes.version if balancer.routes else 0
         yield make_gauge("routes_version", "Version of the routes in force", version)
-        if balancer.shares_evidence:
-            count = balancer.count_condemned(time.monotonic())
+        if balancer.evidence.is_shared:
+            count = balancer.evidence.count_condemned(time.monotonic())
             text = "Servers that the zone considers dead"
             yield make_gauge("condemned_servers", text, count)
         yield make_gauge("ready", "1 while flows can be placed", balancer.ready)
--- a/marjoramford/opaque_flows/load_exchanges.py
+++ b/marjoramford/opaque_flows/load_exchanges.py
@@ -60,7 +60,7 @@
     def _report(self) -> float:
         """Sends the next report if one is due; returns the seconds until the one after it."""
         own = self._group.entry_vms.own
-        report = self._balancer.make_load_report(own.incarnation, time.monotonic())
+        report = self._balancer.admission.make_load_report(own.incarnation, time.monotonic())
         if report is None:
             return IDLE_SECONDS
         addresses = {vm.name: vm.control_address for vm in self._group.entry_vms.active()}
@@ -105,7 +105,7 @@
             self._balancer.counters["load_reports_rejected"] += 1
             logger.debug("load report of an unknown sender at %s", host)
             return False
-        return self._balancer.peer_loads.record(sender, report, time.monotonic())
+        return self._balancer.admission.peer_loads.record(sender, report, time.monotonic())
 
     def _find_sender(self, host: str, incarnation: int) -> str | None:
         """Returns the name of the member at a host, or None."""
--- a/marjoramford/opaque_flows/packet_daemons.py
+++ b/marjoramford/opaque_flows/packet_daemons.py
@@ -222,20 +222,20 @@
     async def _run_timer(self, packets: PacketSocket) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
-            self.balancer.entry_vm_count = len(self._group.entry_vms.active()) + 1
+            self.balancer.admission.entry_vm_count = len(self._group.entry_vms.active()) + 1
             now = time.monotonic()
             self.update_members(now)
-            if self.balancer.shares_evidence:
+            if self.balancer.evidence.is_shared:
                 others = self._group.entry_vms.reachable()
                 vms = frozenset((vm.name, vm.incarnation) for vm in others)
-                self.balancer.update_entry_vms(vms, now)
+                self.balancer.evidence.update_entry_vms(vms, now)
             packets.run_tick(now)
 
     def update_members(self, now: float) -> None:
         """Passes the members of the zone to the balancer, once any other entry VM is known."""
         members = self._group.zone_members()
         if members is not None:
-            self.balancer.cold_starts.update_members(members.present, members.lost, now)
+            self.balancer.admission.cold_starts.update_members(members.present, members.lost, now)
 
     def _stop_after_failure(self) -> None:
         self._failed.set()
--- a/marjoramford/opaque_flows/packet_flows.py
+++ b/marjoramford/opaque_flows/packet_flows.py
@@ -21,6 +21,9 @@
 # long after the start of a round begins the next one. New data that arrives this long after the
 # last new data means that the caller paused.
 MIN_RETRANSMISSION_AGE_SECONDS = 0.15
+# How long a half-closed flow stays in the table after its caller's last packet; several of the
+# longest retransmission intervals.
+CLOSED_FLOW_TTL_SECONDS = 5.0
 
 
 def sequence_distance(later: int, earlier: int) -> int:
@@ -203,6 +206,8 @@
 class PacketFlowTable:
     """The flows seen recently, in the order in which they were added.
 
+    Keeps the counts of open flows and of requests in progress of their servers.
+
     Args:
         max_flows: capacity; the oldest entry is evicted when the table is full.
     """
@@ -221,14 +226,59 @@
         """Returns the flow with this key, or None."""
         return self._flows.get(key)
 
-    def add(self, flow: PacketFlow) -> PacketFlow | None:
-        """Adds a flow; returns the flow that was evicted to make room, if any."""
-        evicted = None
+    def add(self, flow: PacketFlow) -> None:
+        """Adds a flow that is not closing; evicts the oldest one if the table is full."""
         if len(self._flows) >= self._max_flows and flow.key not in self._flows:
-            evicted = self._flows.pop(next(iter(self._flows)))
+            self._release_counts(self._flows.pop(next(iter(self._flows))))
         self._flows[flow.key] = flow
-        return evicted
-
-    def remove(self, key: FlowKey) -> PacketFlow | None:
-        """Removes a flow; returns it, or None if there is none."""
-        return self._flows.pop(key, None)
+        flow.server.open_flows += 1
+        self.update_in_progress(flow)
+
+    def end(self, flow: PacketFlow) -> None:
+        """Removes a flow, if it is there."""
+        if self._flows.pop(flow.key, None) is not None:
+            self._release_counts(flow)
+
+    def begin_close(self, flow: PacketFlow) -> None:
+        """Records that the caller of a flow sends nothing more; it no longer counts as open."""
+        if not flow.closing:
+            flow.closing = True
+            flow.server.open_flows -= 1
+
+    def update_in_progress(self, flow: PacketFlow) -> None:
+        """Counts a flow as a request in progress at its server while an answer is pending."""
+        busy = flow.opening or flow.waiting_since is not None
+        if busy and not flow.counted_in_progress:
+            flow.counted_in_progress = True
+            flow.server.in_progress += 1
+        elif not busy:
+            self._stop_counting(flow)
+
+    def stop_counting_stale_flows(self, now: float) -> None:
+        """Stops counting requests whose answers come through other entry VMs, which count them."""
+        for flow in self._flows.values():
+            if flow.is_stale(now):
+                self._stop_counting(flow)
+
+    def evict_expired(self, idle_seconds: float, max_age_seconds: float, now: float) -> None:
+        """Evicts flows that were idle for too long or are too old.
+
+        Args:
+            idle_seconds: idle timeout of flows that are not closing, in seconds.
+            max_age_seconds: maximum lifetime of a flow, in seconds.
+            now: time on the monotonic clock, in seconds.
+        """
+        for flow in list(self._flows.values()):
+            ttl_seconds = CLOSED_FLOW_TTL_SECONDS if flow.closing else idle_seconds
+            if now - flow.active_at > ttl_seconds or now - flow.opened_at > max_age_seconds:
+                self.end(flow)
+
+    def _stop_counting(self, flow: PacketFlow) -> None:
+        if flow.counted_in_progress:
+            flow.counted_in_progress = False
+            flow.server.in_progress -= 1
+
+    def _release_counts(self, flow: PacketFlow) -> None:
+        if not flow.closing:
+            flow.server.open_flows -= 1
+        self._stop_counting(flow)
--- a/marjoramford/opaque_flows/published_states.py
+++ b/marjoramford/opaque_flows/published_states.py
@@ -113,7 +113,7 @@
         return False
     if state.routes is not None:
         # Builds that know no drains know no limits of cold servers either.
-        balancer.apply_route_changes(state.routes, has_limits=state.drains is not None)
+        balancer.installed_routes.apply_changes(state.routes, has_limits=state.drains is not None)
     if state.age is None:
         return True
     records = tuple(shift_warm_at(record, now) for record in state.records)
--- a/marjoramford/opaque_flows/state_publishers.py
+++ b/marjoramford/opaque_flows/state_publishers.py
@@ -112,7 +112,7 @@
             changes.whole,
             changes.version.revision,
             now - confirmed_at if balancer.server_list.loaded else None,
-            balancer.route_history.changes_since(known.routes_version, known.routes_era),
+            balancer.installed_routes.history.changes_since(known.routes_version, known.routes_era),
             changes.version.era,
             None if recovered_at is None else max(0.0, now - recovered_at),
             changes.drains,
--- a/marjoramford/opaque_flows/state_readers.py
+++ b/marjoramford/opaque_flows/state_readers.py
@@ -112,7 +112,7 @@
             self._client = HttpClient(address, Step.FOLLOW)
             log_event(logger, LogEvent.PEER_FOLLOWED, peer=str(address))
         # A fallback peer may be of another zone, which may reach other servers than this one.
-        shares_evidence = self._balancer.shares_evidence and self._group.is_zone_reader(address)
+        shares_evidence = self._balancer.evidence.is_shared and self._group.is_zone_reader(address)
         target = self._make_question(wait, shares_evidence)
         evidence_asked_at = time.monotonic() if shares_evidence else None
         reply = await self._client.get(target, wait + self._settings.peers.timeout)
@@ -132,7 +132,7 @@
 
     def _make_question(self, wait: float, shares_evidence: bool = False) -> str:
         routes = None if self._asks_whole_routes else self._balancer.routes
-        evidence = self._balancer.verdicts.version if shares_evidence else None
+        evidence = self._balancer.evidence.verdicts.version if shares_evidence else None
         return make_question(self._balancer, routes, wait, evidence)
 
     def _apply_response(
@@ -149,7 +149,10 @@
                     reason = f"state of era {state.era} cannot follow version {known}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
                     return False
-                is_missing = state.drains is not None and not self._balancer.are_limits_known
+                is_missing = (
+                    state.drains is not None
+                    and not self._balancer.installed_routes.are_limits_known
+                )
                 # Not twice in a row: the answer comes at once, and the peer's routes may be older.
                 self._asks_whole_routes = is_missing and not self._asks_whole_routes
                 if self._balancer.server_list.are_drains_current:
@@ -158,7 +161,7 @@
                     reason = f"drains of zones not known as of {state.era}.{state.revision}"
                     self._record_peer_failure(address, StepError(Step.FOLLOW, str(address), reason))
                 if evidence_asked_at is not None:
-                    self._balancer.apply_evidence(state.evidence, now, evidence_asked_at)
+                    self._balancer.evidence.apply(state.evidence, now, evidence_asked_at)
                 self._publisher.notify()
                 return True
             case Err(reason):
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -326,7 +326,7 @@
     def _apply_routes(self, item: StoreItem) -> None:
         match decode_routes(item, self._cursor.version.era):
             case Ok(table):
-                self._balancer.apply_routes(table)
+                self._balancer.installed_routes.apply(table)
             case Err(reason):
                 self._reject(item, reason)
 
--- a/marjoramford/shared/backend_servers.py
+++ b/marjoramford/shared/backend_servers.py
@@ -8,7 +8,6 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from random import Random
-from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -17,9 +16,6 @@
 from .records import VmRecord
 from .responsiveness import Responsiveness
 
-if TYPE_CHECKING:
-    from ..token_flows.events import LoadReported
-
 logger = logging.getLogger(__name__)
 
 FAILURES_TO_EJECT = 3
@@ -169,25 +165,31 @@
                 return count
         return 0
 
-    def apply_report(self, report: "LoadReported") -> None:
+    def apply_report(self, busy: int, slots: int, draining: bool, measured_at: float) -> None:
         """Applies a load report; of a report older than the latest one, only `slots`.
 
         It clears failed probes, but not other failures: a server that answers probes may still
         break every request.
+
+        Args:
+            busy: requests in progress at the server.
+            slots: requests that it processes at once; 0 if it does not say.
+            draining: whether it takes no new work.
+            measured_at: when it measured them, in epoch seconds.
         """
         self.failures -= self.failed_probes
         self.failed_probes = 0
-        if report.slots > 0:
-            self.slots = report.slots
-        if report.measured_at < self.reported_at:
+        if slots > 0:
+            self.slots = slots
+        if measured_at < self.reported_at:
             return
-        self.reported_at = report.measured_at
-        self.reported_busy = report.busy
-        self.own_when_reported = self._in_progress_at(report.measured_at)
-        if report.draining:
+        self.reported_at = measured_at
+        self.reported_busy = busy
+        self.own_when_reported = self._in_progress_at(measured_at)
+        if draining:
             self.start_leaving("load report")
         if self.own_when_reported:
-            self._update_trust(agrees=report.busy >= self.own_when_reported)
+            self._update_trust(agrees=busy >= self.own_when_reported)
 
     def record_answer(self) -> None:
         """Records a request that it answered, and raises its concurrency limit."""
--- a/marjoramford/standins/packet_evidence.py
+++ b/marjoramford/standins/packet_evidence.py
@@ -135,7 +135,10 @@
             participant.log = ReportLog(vm.settings.shared_evidence)
             participant.log_target = (reader.name, reader.boots)
         reports = participant.log.select(
-            balancer.find_silences(now), balancer.find_objections(now), balancer.find_answer, now
+            balancer.evidence.find_silences(now),
+            balancer.evidence.find_objections(now),
+            balancer.evidence.find_answer,
+            now,
         )
         if not reports:
             return
@@ -165,7 +168,7 @@
     def _answer(self, call: _Call) -> None:
         vm = call.vm
         if vm.boots == call.vm_boots and vm.balancer is not None and not vm.is_frozen:
-            vm.balancer.record_call(call.called_at, self._host.now)
+            vm.balancer.evidence.record_call(call.called_at, self._host.now)
 
     def _decide(self, reader: EmulatedVm, members: Sequence[EmulatedVm]) -> None:
         now = self._host.now
@@ -173,7 +176,7 @@
         collector = participant.collector
         names = [vm.name for vm in members]
         before = self._condemned(participant)
-        changed = collector.evaluate(reader.balancer.is_running, names, now)
+        changed = collector.evaluate(reader.balancer.evidence.is_running, names, now)
         for server in self._condemned(participant) - before:
             self.verdicts.append(Verdict(now, reader.zone, server))
         if not changed and (
@@ -181,10 +184,10 @@
         ):
             return
         participant.published_at = now
-        reader.balancer.apply_evidence(collector.publish(now), now)
+        reader.balancer.evidence.apply(collector.publish(now), now)
         for vm in members:
             if vm is not reader and vm.balancer is not None:
-                evidence = collector.publish(now, vm.balancer.verdicts.version)
+                evidence = collector.publish(now, vm.balancer.evidence.verdicts.version)
                 self.sent_bytes += len(msgspec.json.encode(evidence))
                 delay = self._draw_call_delay(reader, vm)
                 self._host.after(delay, partial(self._apply, reader, vm, vm.boots, evidence))
@@ -194,8 +197,11 @@
     ) -> None:
         if vm.boots != boots or vm.balancer is None or vm.is_frozen:
             return
-        vm.balancer.apply_evidence(evidence, self._host.now)
-        collector, version = self._participant(reader).collector, vm.balancer.verdicts.version
+        vm.balancer.evidence.apply(evidence, self._host.now)
+        collector, version = (
+            self._participant(reader).collector,
+            vm.balancer.evidence.verdicts.version,
+        )
 
         def ask_again() -> None:
             collector.acknowledge(version, self._host.now)
--- a/marjoramford/standins/packet_vms.py
+++ b/marjoramford/standins/packet_vms.py
@@ -238,7 +238,7 @@
         server_list = self.balancer.server_list
         server_list.apply(self._catalogue.changes_since(server_list.version), self._host.now)
         server_list.confirm(self._host.now)
-        self.balancer.apply_routes(self._catalogue.routes)
+        self.balancer.installed_routes.apply(self._catalogue.routes)
 
     def _exchange_members(self) -> None:
         recently = self._host.now - MEMBER_LOSS_SECONDS
@@ -254,12 +254,14 @@
         self.served_at = self._host.now
         if self._members is not None:
             present, lost = self._members.present, self._members.lost
-            self.balancer.cold_starts.update_members(present, lost, self._host.now)
-        self.balancer.entry_vm_count = sum(vm.balancer is not None for vm in self._host.vms)
-        if self.balancer.shares_evidence:
+            self.balancer.admission.cold_starts.update_members(present, lost, self._host.now)
+        self.balancer.admission.entry_vm_count = sum(
+            vm.balancer is not None for vm in self._host.vms
+        )
+        if self.balancer.evidence.is_shared:
             running = (vm for vm in self._host.vms if vm is not self and vm.balancer is not None)
             others = frozenset((vm.name, vm.boots) for vm in running)
-            self.balancer.update_entry_vms(others, self._host.now)
+            self.balancer.evidence.update_entry_vms(others, self._host.now)
         for reset in self.balancer.tick(self._host.now):
             self._reset(reset.flow, reset.acknowledged)
         if self._host.evidence is not None:
@@ -273,10 +275,10 @@
         self._host.after(pause, self._if_same_boot(self._report_load))
         if not receivers or self.is_frozen:
             return
-        report = self.balancer.make_load_report(self.boots, now)
+        report = self.balancer.admission.make_load_report(self.boots, now)
         if report is not None:
             receiver = receivers[report.sequence % len(receivers)]
-            vms[receiver].balancer.peer_loads.record(self.name, report, now)
+            vms[receiver].balancer.admission.peer_loads.record(self.name, report, now)
 
     def _reset(self, flow: FlowKey, acknowledged: int) -> None:
         datagram, address = self._codec.encode_reset(flow, acknowledged)
--- a/marjoramford/token_flows/balancers.py
+++ b/marjoramford/token_flows/balancers.py
@@ -220,7 +220,7 @@
             return []
         match event:
             case LoadReported():
-                server.apply_report(event)
+                server.apply_report(event.busy, event.slots, event.draining, event.measured_at)
             case ProbeFailed():
                 server.record_failed_probe()
                 self._node.servers.eject_if_failing(server, now)
--- a/tests/evidence_zones.py
+++ b/tests/evidence_zones.py
@@ -139,8 +139,12 @@
             (server.name, self.now) for caller, server in self._idle[vm] if caller.key in keys
         ]
         self._idle[vm] = [item for item in self._idle[vm] if item[0].key not in keys]
-        silences, objections = balancer.find_silences(self.now), balancer.find_objections(self.now)
-        reports = self._logs[vm].select(silences, objections, balancer.find_answer, self.now)
+        silences, objections = balancer.evidence.find_silences(
+            self.now
+        ), balancer.evidence.find_objections(self.now)
+        reports = self._logs[vm].select(
+            silences, objections, balancer.evidence.find_answer, self.now
+        )
         if reports and self._shared:
             message = EvidenceMessage(self.names[vm], 1, next(self._sequences[vm]), reports)
             self.after(self._delay_of(vm) + self._delay_of(0), self._receive, message)
@@ -153,7 +157,9 @@
             self._evaluate()
 
     def _evaluate(self):
-        if self.collector.evaluate(self.worlds[0].balancer.is_running, self.names, self.now):
+        if self.collector.evaluate(
+            self.worlds[0].balancer.evidence.is_running, self.names, self.now
+        ):
             self._publish()
 
     def _publish_again(self):
@@ -172,10 +178,10 @@
     def _apply(self, vm, evidence):
         if vm not in self.suspended:
             balancer = self.worlds[vm].balancer
-            balancer.apply_evidence(evidence, self.now)
+            balancer.evidence.apply(evidence, self.now)
             if vm:
                 delay = self._delay_of(vm) + self._delay_of(0)
-                self.after(delay, self._acknowledge, balancer.verdicts.version)
+                self.after(delay, self._acknowledge, balancer.evidence.verdicts.version)
 
     def _acknowledge(self, version):
         if 0 not in self.suspended:
--- a/tests/flow_worlds.py
+++ b/tests/flow_worlds.py
@@ -71,7 +71,7 @@
     def __init__(self, *records, settings=SETTINGS, seed=1, start=START):
         self.now = start
         self.balancer = FlowBalancer(settings, Random(seed), self.now)
-        self.balancer.apply_routes(route_table())
+        self.balancer.installed_routes.apply(route_table())
         self.apply(snapshot(*records))
         self._next_port = 1000
 
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import logging
+import time
 from collections import Counter
 from random import Random
 
@@ -281,7 +282,7 @@
 def settle(balancer, names, start, until):
     at = start
     while at <= until:
-        balancer.cold_starts.update_members(names, [], at)
+        balancer.admission.cold_starts.update_members(names, [], at)
         at += 0.1
 
 
@@ -296,7 +297,7 @@
         for name in members:
             own = msgspec.structs.replace(SETTINGS, name=name, zone=zone)
             balancer = FlowBalancer(own, Random(name), START)
-            balancer.apply_routes(table(limit))
+            balancer.installed_routes.apply(table(limit))
             balancer.server_list.apply(whole_list(*records), START)
             balancer.server_list.confirm(START)
             settle(balancer, members, START, START + 10.0)
@@ -307,7 +308,7 @@
         now += random.expovariate(1000)
         if number % 100 == 0:
             for balancer, members in fleet:
-                balancer.cold_starts.update_members(members, [], now)
+                balancer.admission.cold_starts.update_members(members, [], now)
                 balancer.tick(now)
         balancer = random.choice(fleet)[0]
         key = FlowKey(0x64400007, number, ROUTE_IP, ROUTE_PORT)
@@ -332,7 +333,7 @@
 def cold_world(limit=10.0, servers=1, warm_at=START + 60.0):
     records = [record(f"s-{n}", warm_at=warm_at) for n in range(1, servers + 1)]
     world = FlowWorld(*records)
-    world.balancer.apply_routes(table(limit))
+    world.balancer.installed_routes.apply(table(limit))
     run(world, 20.0)
     return world
 
@@ -341,9 +342,9 @@
     """Advances the clock as the timer of an entry VM does that is alone in its zone."""
     end = world.now + seconds
     while world.now < end - 1e-9:
-        world.balancer.cold_starts.update_members(["front-1"], [], world.now)
+        world.balancer.admission.cold_starts.update_members(["front-1"], [], world.now)
         world.advance(min(0.1, end - world.now))
-    world.balancer.cold_starts.update_members(["front-1"], [], world.now)
+    world.balancer.admission.cold_starts.update_members(["front-1"], [], world.now)
 
 
 def take_all_tokens(world):
@@ -461,7 +462,7 @@
     vm = PacketVm(
         msgspec.structs.replace(SETTINGS, seeds=seeds), None, lambda *_: None, lambda: None
     )
-    control = vm.balancer.cold_starts
+    control = vm.balancer.admission.cold_starts
     vm.update_members(START)
     assert control.members == 0
     for name, zone in (("front-2", "a"), ("front-3", "b")):
@@ -476,19 +477,21 @@
 
 
 def test_followers_get_the_limits_with_the_routes_and_only_if_they_changed():
-    leader, follower = FlowWorld(record("s-1")), FlowBalancer(SETTINGS, Random(1), START)
+    # The publisher reads the clock, which is below `START` soon after a boot of the machine.
+    leader = FlowWorld(record("s-1"), start=time.monotonic())
+    follower = FlowBalancer(SETTINGS, Random(1), START)
 
     def follow(known_routes):
         body = asyncio.run(StatePublisher(leader.balancer).answer(0, known_routes, 0.0, era=0))
         assert apply_state(decode_state(body).unwrap(), follower, START)
-        return b"warmup_limits" in body, follower.warmup_limit("booking")
+        return b"warmup_limits" in body, follower.admission.warmup_limit("booking")
 
     assert follow(0) == (False, 0.0)
-    leader.balancer.apply_routes(table(5.0, version=2))
+    leader.balancer.installed_routes.apply(table(5.0, version=2))
     assert follow(0) == (True, 5.0)
-    leader.balancer.apply_routes(table(5.0, version=3))
+    leader.balancer.installed_routes.apply(table(5.0, version=3))
     assert follow(2) == (False, 5.0)
-    leader.balancer.apply_routes(table(0.0, version=4))
+    leader.balancer.installed_routes.apply(table(0.0, version=4))
     assert follow(3) == (True, 0.0)
 
 
@@ -504,7 +507,7 @@
             await vm._run_timer(Packets())
 
     asyncio.run(run())
-    assert vm.balancer.cold_starts.members == 1
+    assert vm.balancer.admission.cold_starts.members == 1
 
 
 def test_shares_of_servers_that_are_gone_take_no_memory_without_members():
--- a/tests/test_condemned_servers.py
+++ b/tests/test_condemned_servers.py
@@ -22,7 +22,7 @@
 
 def condemn(world, name="s-1", since=0.5, incarnation=0, prober=""):
     silence = PublishedSilence(name, incarnation, since, prober)
-    world.balancer.apply_evidence(PublishedEvidence(7, False, (), (silence,)), world.now)
+    world.balancer.evidence.apply(PublishedEvidence(7, False, (), (silence,)), world.now)
 
 
 def make_world(settings=ENABLED, start=START):
@@ -54,7 +54,7 @@
     condemn(world, since=0.5)
     assert isinstance(caller.receive_answer(), Forward)
     assert world.advance(0.3) == []
-    assert list(world.balancer.find_objections(world.now)) == [("s-1", 0)]
+    assert list(world.balancer.evidence.find_objections(world.now)) == [("s-1", 0)]
 
 
 def test_a_decision_that_arrives_late_does_not_outlive_an_answer_seen_here():
@@ -79,8 +79,8 @@
 def test_a_decision_that_is_not_repeated_lapses():
     world, caller = make_world()
     condemn(world, since=0.5)
-    assert world.balancer.count_condemned(world.now) == 1
-    assert world.balancer.count_condemned(world.now + 2.1) == 0
+    assert world.balancer.evidence.count_condemned(world.now) == 1
+    assert world.balancer.evidence.count_condemned(world.now + 2.1) == 0
 
 
 def test_no_flow_is_reset_after_a_stall_with_an_old_decision():
@@ -102,11 +102,11 @@
         world.balancer.tick(world.now)
     silence = PublishedSilence("s-1", 0, 0.5)
     decisions = PublishedEvidence(7, False, (), (silence,))
-    world.balancer.apply_evidence(decisions, world.now, asked_at)
+    world.balancer.evidence.apply(decisions, world.now, asked_at)
     assert isinstance(caller.request(), Forward)
     assert world.advance(0.3) == []
-    world.balancer.apply_evidence(decisions, world.now, world.now)
-    assert world.balancer.count_condemned(world.now) == 1
+    world.balancer.evidence.apply(decisions, world.now, world.now)
+    assert world.balancer.evidence.count_condemned(world.now) == 1
 
 
 def test_new_flows_avoid_a_condemned_server_unless_there_is_no_other():
@@ -128,7 +128,7 @@
         world.advance(0.2)
         for caller in callers:
             caller.open()
-        silent = world.balancer.find_silences(world.now)
+        silent = world.balancer.evidence.find_silences(world.now)
         assert (("s-1", 0) in silent) is (prober == "front-1")
         assert ("s-2", 0) not in silent
 
@@ -158,14 +158,14 @@
     caller.request()
     world.advance(0.2)
     caller.send(size=200, sequence=caller.sequence - 200)
-    assert world.balancer.find_silences(world.now) == {}
+    assert world.balancer.evidence.find_silences(world.now) == {}
     world.advance(0.1)
-    silence = world.balancer.find_silences(world.now)["s-1", 0]
+    silence = world.balancer.evidence.find_silences(world.now)["s-1", 0]
     assert (silence.flows, silence.decided) == (1, False)
     assert world.now - silence.silent_since == pytest.approx(0.3)
     assert world.now - silence.latest_at == pytest.approx(0.1)
     caller.receive_answer()
-    assert world.balancer.find_silences(world.now) == {}
+    assert world.balancer.evidence.find_silences(world.now) == {}
     assert not silence.link_suspected
 
 
@@ -176,7 +176,7 @@
     for pause in (0.2, 0.4):
         world.advance(pause)
         caller.send(size=200, sequence=caller.sequence - 200)
-    silence = world.balancer.find_silences(world.now)["s-1", 0]
+    silence = world.balancer.evidence.find_silences(world.now)["s-1", 0]
     assert world.now - silence.latest_at == pytest.approx(0.4)
 
 
@@ -193,11 +193,11 @@
     for caller in callers:
         caller.send(size=200, sequence=caller.sequence - 200)
     world.advance(0.1)
-    assert all(s.link_suspected for s in world.balancer.find_silences(world.now).values())
-    world.balancer.record_call(world.now - 1.5, world.now)
-    assert all(s.link_suspected for s in world.balancer.find_silences(world.now).values())
-    world.balancer.record_call(world.now - 0.01, world.now)
-    silences = world.balancer.find_silences(world.now)
+    assert all(s.link_suspected for s in world.balancer.evidence.find_silences(world.now).values())
+    world.balancer.evidence.record_call(world.now - 1.5, world.now)
+    assert all(s.link_suspected for s in world.balancer.evidence.find_silences(world.now).values())
+    world.balancer.evidence.record_call(world.now - 0.01, world.now)
+    silences = world.balancer.evidence.find_silences(world.now)
     assert len(silences) == 2
     assert not any(silence.link_suspected for silence in silences.values())
 
@@ -205,7 +205,7 @@
 def make_moved_flow():
     """An idle flow whose packets may take another way since an entry VM joined."""
     world, caller = make_world()
-    world.balancer.update_entry_vms(frozenset({("front-9", 1)}), world.now)
+    world.balancer.evidence.update_entry_vms(frozenset({("front-9", 1)}), world.now)
     world.advance(5.0)
     return world, caller
 
--- a/tests/test_evidence_exchanges.py
+++ b/tests/test_evidence_exchanges.py
@@ -63,7 +63,7 @@
         self.address = address
         self.vm = PacketVm(settings, None, lambda _settings, balancer: IdlePlatform(balancer), None)
         self.balancer = self.vm.balancer
-        self.balancer.apply_routes(route_table())
+        self.balancer.installed_routes.apply(route_table())
         self.balancer.server_list.apply(snapshot(record("s-1"), record("s-2", 2)), self.now)
         self.tasks = []
 
@@ -77,7 +77,7 @@
 
     @property
     def sees_condemned(self):
-        return self.balancer.count_condemned(self.now) == 1
+        return self.balancer.evidence.count_condemned(self.now) == 1
 
     def start(self, vms):
         self.vm._group.merge_updates([each.vm._group.entry_vms.own.to_update() for each in vms])
--- a/tests/test_flow_balancers.py
+++ b/tests/test_flow_balancers.py
@@ -3,10 +3,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramford.opaque_flows.flow_balancers import MAX_UNKNOWN_LABELS
 from marjoramford.opaque_flows.flow_labels import LabelIndex, derive_label
 from marjoramford.opaque_flows.packets import DropPacket, FlowKey, Forward, PacketHeader, ResetFlow
 from marjoramford.opaque_flows.routes import RouteTable
+from marjoramford.opaque_flows.unknown_labels import MAX_UNKNOWN_LABELS
 
 from .flow_worlds import (
     ROUTE_IP,
@@ -50,7 +50,7 @@
     caller = world.caller()
     server = caller.establish()
     world.apply(upsert(record("s-3", revision=101)))
-    world.balancer.apply_routes(route_table(version=2, service="other"))
+    world.balancer.installed_routes.apply(route_table(version=2, service="other"))
     assert caller.request().server is server
 
 
@@ -77,8 +77,8 @@
 
 def test_older_routes_are_ignored():
     world = two_server_world()
-    world.balancer.apply_routes(route_table(version=5, service="other"))
-    world.balancer.apply_routes(route_table(version=4))
+    world.balancer.installed_routes.apply(route_table(version=5, service="other"))
+    world.balancer.installed_routes.apply(route_table(version=4))
     assert world.balancer.routes.version == 5
 
 
@@ -89,30 +89,30 @@
 
 def test_a_lower_version_of_routes_in_a_newer_era_does_not_replace_those_in_force():
     world = two_server_world()
-    world.balancer.apply_routes(route_table(version=5, service="other"))
-    world.balancer.apply_routes(route_table(version=4, era=1))
+    world.balancer.installed_routes.apply(route_table(version=5, service="other"))
+    world.balancer.installed_routes.apply(route_table(version=4, era=1))
     assert routed_service(world) == "other"
     assert world.balancer.routes.order == (5, 0)
 
 
 def test_a_version_of_routes_written_again_in_a_newer_era_replaces_the_older_content():
     world = two_server_world()
-    world.balancer.apply_routes(route_table(version=5))
-    world.balancer.apply_routes(route_table(version=5, service="other"))
+    world.balancer.installed_routes.apply(route_table(version=5))
+    world.balancer.installed_routes.apply(route_table(version=5, service="other"))
     assert routed_service(world) == "booking"
-    world.balancer.apply_routes(route_table(version=5, service="other", era=1))
+    world.balancer.installed_routes.apply(route_table(version=5, service="other", era=1))
     assert routed_service(world) == "other"
-    world.balancer.apply_routes(route_table(version=5))
+    world.balancer.installed_routes.apply(route_table(version=5))
     assert routed_service(world) == "other"
 
 
 def test_a_delta_of_routes_whose_base_is_of_another_era_is_ignored():
     world = two_server_world()
-    world.balancer.apply_routes(route_table(version=5, era=1))
+    world.balancer.installed_routes.apply(route_table(version=5, era=1))
     newer = route_table(version=6, service="other", era=1)
-    world.balancer.apply_route_changes(newer.diff_from(route_table(version=5)))
+    world.balancer.installed_routes.apply_changes(newer.diff_from(route_table(version=5)))
     assert world.balancer.routes.order == (5, 1)
-    world.balancer.apply_route_changes(newer.diff_from(route_table(version=5, era=1)))
+    world.balancer.installed_routes.apply_changes(newer.diff_from(route_table(version=5, era=1)))
     assert world.balancer.routes.order == (6, 1)
 
 
@@ -142,7 +142,7 @@
     world = FlowWorld(record("s-1"), record("s-2"), record("s-3", service="other"))
     caller = world.caller()
     assert caller.open().server.service == "booking"
-    world.balancer.apply_routes(route_table(version=2, service="other"))
+    world.balancer.installed_routes.apply(route_table(version=2, service="other"))
     world.advance(0.05)
     assert caller.open() == DropPacket("route has changed")
     world.advance(0.15)
@@ -153,10 +153,10 @@
     world = FlowWorld(record("s-1"))
     caller = world.caller()
     caller.open()
-    world.balancer.apply_routes(route_table(version=2, service="other"))
+    world.balancer.installed_routes.apply(route_table(version=2, service="other"))
     world.advance(0.2)
     assert caller.open() == DropPacket("route has changed")
-    world.balancer.apply_routes(RouteTable(3, (), 15.0))
+    world.balancer.installed_routes.apply(RouteTable(3, (), 15.0))
     assert caller.open() == DropPacket("no route")
 
 
@@ -462,7 +462,7 @@
 
 def test_packets_are_dropped_until_routes_are_known():
     world = two_server_world()
-    world.balancer._routes = None
+    world.balancer.installed_routes._table = None
     assert isinstance(world.caller().open(), DropPacket)
     assert world.balancer.counters["DropPacket"] == 1
 
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -56,7 +56,7 @@
     """An entry VM of this build whose list is of an era."""
     vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
     now = time.monotonic()
-    vm.balancer.apply_routes(route_table())
+    vm.balancer.installed_routes.apply(route_table())
     vm.balancer.server_list.apply(snapshot(*records, revision=revision, era=era), now)
     vm.balancer.server_list.confirm(now)
     return vm
@@ -108,11 +108,11 @@
 def test_an_old_follower_gets_whole_routes_after_a_restore_and_does_not_spin():
     async def scenario():
         vm = make_vm(record("s-1"), revision=7, era=1)
-        vm.balancer.apply_routes(route_table(version=5, era=1))
+        vm.balancer.installed_routes.apply(route_table(version=5, era=1))
         asked_at = time.monotonic()
         await ask(vm, "after=10&routes=5&wait=0.2")
         assert time.monotonic() - asked_at >= 0.2
-        vm.balancer.apply_routes(route_table(version=6, service="other", era=1))
+        vm.balancer.installed_routes.apply(route_table(version=6, service="other", era=1))
         state = msgspec.json.decode(await ask(vm, "after=10&routes=5&wait=20"), type=OldState)
         assert (state.routes.version, state.routes.base) == (6, 0)
 
@@ -222,7 +222,7 @@
     # confirmed its list at a fixed time of 1,000 s would have a negative age before.
     leader = FlowWorld(record("s-1"), start=time.monotonic())
     follower = FlowWorld(record("s-1"))
-    leader.balancer.apply_routes(route_table(version=9, service="other"))
+    leader.balancer.installed_routes.apply(route_table(version=9, service="other"))
     late = asyncio.run(StatePublisher(leader.balancer).answer(0, 0, 0.0, era=0, routes_era=0))
     follower.apply(snapshot(record("s-2"), revision=7, era=1))
     before = follower.balancer.server_list.confirmed_at
@@ -249,13 +249,13 @@
 def test_the_same_routes_in_a_newer_era_are_not_sent_again():
     async def scenario():
         vm = make_vm(record("s-1"))
-        vm.balancer.apply_routes(route_table(era=1))
+        vm.balancer.installed_routes.apply(route_table(era=1))
         body = await ask(vm, "after=100&era=0&routes=1&routes_era=0&wait=20")
         state = decode_state(body).unwrap()
         assert (state.routes.routes, state.routes.removed) == ((), ())
         follower = FlowWorld(record("s-1"))
         before = follower.balancer.routes.routes()
-        follower.balancer.apply_route_changes(state.routes)
+        follower.balancer.installed_routes.apply_changes(state.routes)
         assert follower.balancer.routes.order == (1, 1)
         assert follower.balancer.routes.routes() == before
         asked_at = time.monotonic()
@@ -340,16 +340,16 @@
     """Its routes come first and have the same version; cold servers would stay without a limit."""
     balancer = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None).balancer
     if base:
-        balancer.apply_routes(RouteTable(1, (), 15.0, 0, (WarmupLimit("booking", 9.0),)))
+        balancer.installed_routes.apply(RouteTable(1, (), 15.0, 0, (WarmupLimit("booking", 9.0),)))
     changes = RouteChanges(2, base, 15.0, LIMITED.routes())
     older = PublishedState((), (), False, 0, None, changes)
     assert apply_state(older, balancer, time.monotonic())
     assert balancer.routes.version == 2
-    balancer.apply_routes(LIMITED)
-    assert balancer.warmup_limit("booking") == 5.0
+    balancer.installed_routes.apply(LIMITED)
+    assert balancer.admission.warmup_limit("booking") == 5.0
     # The older reader's table is no reason to forget them.
     assert apply_state(older, balancer, time.monotonic())
-    assert balancer.warmup_limit("booking") == 5.0
+    assert balancer.admission.warmup_limit("booking") == 5.0
 
 
 @pytest.mark.parametrize("leader_version", [2, 1])
@@ -362,7 +362,7 @@
         server, address, _ = await serve_states(old)
         leader = make_vm(record("s-2", zone="b"), revision=101)
         if leader_version == 2:
-            leader.balancer.apply_routes(LIMITED)
+            leader.balancer.installed_routes.apply(LIMITED)
         questions = []
 
         async def answer(request):
@@ -377,7 +377,7 @@
             await vm._reader._follow(next_address, 0.01)
         whole = ["&routes=0&" in question for question in questions]
         if leader_version == 2:
-            assert vm.balancer.warmup_limit("booking") == 5.0
+            assert vm.balancer.admission.warmup_limit("booking") == 5.0
             assert whole == [False, True, False, False]
         else:
             assert whole == [False, True, False, True]
--- a/tests/test_overload_controls.py
+++ b/tests/test_overload_controls.py
@@ -130,8 +130,8 @@
 def overloaded():
     """A balancer whose flows got late answers from every server for some seconds."""
     world = FlowWorld(*[record(f"s-{number}") for number in range(1, 4)])
-    world.balancer.apply_routes(RouteTable(2, (BOARDS,), 15.0))
-    world.balancer.entry_vm_count = ENTRY_VMS
+    world.balancer.installed_routes.apply(RouteTable(2, (BOARDS,), 15.0))
+    world.balancer.admission.entry_vm_count = ENTRY_VMS
     world.callers = [world.caller() for _ in range(9)]
     for caller in world.callers:
         caller.establish()
@@ -150,24 +150,24 @@
     refused = [action for action in openings if isinstance(action, ResetFlow)]
     assert refused
     assert {action.reason for action in refused} == {"overload"}
-    assert overloaded.balancer.refusal_levels["booking"] > 0
+    assert overloaded.balancer.admission.refusal_levels["booking"] > 0
 
 
 def test_no_flow_is_refused_once_slots_are_free(overloaded):
     """The refusal level falls only at the next ticks; the servers may be idle before."""
     for caller in overloaded.callers[-3:]:
         caller.receive_answer()
-    assert overloaded.balancer.refusal_levels["booking"] > 0
+    assert overloaded.balancer.admission.refusal_levels["booking"] > 0
     assert not isinstance(overloaded.caller().open(), ResetFlow)
 
 
 def test_open_flows_are_never_reset_for_overload(overloaded):
-    assert overloaded.balancer.refusal_levels["booking"] > 0
+    assert overloaded.balancer.admission.refusal_levels["booking"] > 0
     assert not any(isinstance(caller.request(), ResetFlow) for caller in overloaded.callers)
 
 
 def test_a_repeated_opening_of_a_placed_flow_is_not_refused(overloaded):
-    control = overloaded.balancer._overload_controls["booking"]
+    control = overloaded.balancer.admission._overload_controls["booking"]
     control._level, level = 0.0, control.level
     caller = overloaded.caller()
     caller.open()
@@ -178,8 +178,8 @@
 
 def test_a_stall_of_this_process_is_no_overload():
     world = FlowWorld(record("s-1"))
-    world.balancer.apply_routes(RouteTable(2, (BOARDS,), 15.0))
-    world.balancer.entry_vm_count = ENTRY_VMS
+    world.balancer.installed_routes.apply(RouteTable(2, (BOARDS,), 15.0))
+    world.balancer.admission.entry_vm_count = ENTRY_VMS
     callers = [world.caller() for _ in range(30)]
     for caller in callers:
         caller.establish()
--- a/tests/test_packet_comparisons.py
+++ b/tests/test_packet_comparisons.py
@@ -23,6 +23,7 @@
     PacketExperiment,
     PacketPlan,
 )
+from marjoramford.opaque_flows.flow_admissions import FlowAdmission
 from marjoramford.opaque_flows.flow_balancers import FlowBalancer
 from marjoramford.standins.deployments import HERITAGE
 from marjoramford.standins.packet_servers import SLOTS
@@ -91,15 +92,18 @@
     """Judged at the moment of the refusal, unlike the emulator's check of refused openings."""
     early = []
 
-    class ObservedBalancer(FlowBalancer):
-        def _refuses_for_overload(self, service, route, now):
-            refuses = super()._refuses_for_overload(service, route, now)
+    class ObservedAdmission(FlowAdmission):
+        def refuses(self, service, route, now):
+            refuses = super().refuses(service, route, now)
             running = experiment.world.running_servers(service)
             free = sum(server.load < SLOTS for server in running)
             if refuses and 2 * free > len(running):
                 early.append((service, now))
             return refuses
 
+    class ObservedBalancer(FlowBalancer):
+        admission_type = ObservedAdmission
+
     settings = PacketWorldSettings(target_seconds=0.3, make_balancer=ObservedBalancer)
     plan = PacketPlan(HERITAGE, 1, 20.0, load=load, target_seconds=0.3)
     experiment = PacketExperiment(plan, settings)
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -18,10 +18,12 @@
     run_with_faults,
 )
 from marjoramford.evaluations.packet_experiments import PacketExperiment, PacketPlan
-from marjoramford.opaque_flows.flow_balancers import FlowBalancer
+from marjoramford.opaque_flows.flow_admissions import FlowAdmission
+from marjoramford.opaque_flows.installed_routes import InstalledRoutes
 from marjoramford.opaque_flows.packets import FlowKey
 from marjoramford.opaque_flows.routes import Route
 from marjoramford.opaque_flows.server_lists import ServerList
+from marjoramford.opaque_flows.silence_evidence import SilenceEvidence
 from marjoramford.opaque_flows.zone_drains import ZoneDrains, ZoneState
 from marjoramford.platform.packets import PlatformCodec
 from marjoramford.shared.backend_servers import BackendServer
@@ -249,7 +251,7 @@
     def is_dead(self, flow, now):
         return flow.waiting_since is not None and flow.key.caller_port % 7 == 0
 
-    monkeypatch.setattr(FlowBalancer, "_is_dead", is_dead)
+    monkeypatch.setattr(SilenceEvidence, "is_dead", is_dead)
     assert run().findings.broken["FLOW"]
 
 
@@ -298,29 +300,29 @@
 
 
 def test_detects_routes_applied_too_late(monkeypatch):
-    apply_routes = FlowBalancer.apply_routes
+    apply_routes = InstalledRoutes.apply
 
     def apply_first_only(self, table):
-        if self.routes is None:
+        if self.table is None:
             apply_routes(self, table)
 
-    monkeypatch.setattr(FlowBalancer, "apply_routes", apply_first_only)
+    monkeypatch.setattr(InstalledRoutes, "apply", apply_first_only)
     assert run(seconds=40.0, faults="planned").findings.broken["CONFIG"]
 
 
 def test_detects_a_return_to_older_routes(monkeypatch):
-    apply_routes = FlowBalancer.apply_routes
+    apply_routes = InstalledRoutes.apply
     tables = []
 
     def apply_some_old_ones(self, table):
         tables.append(table)
-        self._routes = None
+        self._table = None
         old = table.version > 3 and len(tables) % 40 < 8
         apply_routes(
             self, next(t for t in tables if t.version > table.version - 4) if old else table
         )
 
-    monkeypatch.setattr(FlowBalancer, "apply_routes", apply_some_old_ones)
+    monkeypatch.setattr(InstalledRoutes, "apply", apply_some_old_ones)
     notes = run(seconds=40.0, faults="planned").findings.notes
     assert any("went back" in note for note in notes), notes
 
@@ -343,7 +345,7 @@
 
 
 def test_detects_a_refusal_despite_an_existing_route(monkeypatch):
-    monkeypatch.setattr(FlowBalancer, "_place", lambda self, service, avoided, now: None)
+    monkeypatch.setattr(FlowAdmission, "place", lambda self, service, avoided, now: None)
     assert run(load=0.1).findings.broken["CONFIG"]
 
 
@@ -352,7 +354,7 @@
     def refuses(self, service, route, now):
         return self._random.random() < 0.05
 
-    monkeypatch.setattr(FlowBalancer, "_refuses_for_overload", refuses)
+    monkeypatch.setattr(FlowAdmission, "refuses", refuses)
     assert run(load=load).findings.broken["CONFIG"]
 
 
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -5,9 +5,12 @@
 
 from marjoramford.opaque_flows.packet_flows import PacketFlow, PacketFlowTable, sequence_distance
 from marjoramford.opaque_flows.packets import FlowKey, PacketHeader
+from marjoramford.shared.addresses import Address
+from marjoramford.shared.backend_servers import BackendServer
 
 KEY = FlowKey(1, 2, 3, 4)
 DATA = 1200
+ADDRESS = Address("127.0.0.9", 1)
 
 
 def flow():
@@ -86,10 +89,9 @@
 
 def test_a_full_table_evicts_the_oldest_flow():
     table = PacketFlowTable(2)
-    flows = [flow() for _ in range(3)]
-    for number, each in enumerate(flows):
-        each.key = FlowKey(1, number, 3, 4)
-    assert table.add(flows[0]) is None
-    assert table.add(flows[1]) is None
-    assert table.add(flows[2]) is flows[0]
-    assert len(table) == 2
+    servers = [BackendServer(f"s-{n}", 1, "a", "booking", ADDRESS, ADDRESS) for n in range(3)]
+    flows = [PacketFlow(FlowKey(1, n, 3, 4), servers[n], 7, False, 0.0, 0.0) for n in range(3)]
+    for each in flows:
+        table.add(each)
+    assert list(table) == flows[1:]
+    assert [each.server.open_flows for each in flows] == [0, 1, 1]
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -114,8 +114,8 @@
 def busy_world():
     """An entry VM of eight with regular traffic and two requests in progress of its own."""
     world = FlowWorld(record("s-1"), record("s-2"))
-    world.balancer.apply_routes(RouteTable(2, (BOARDS,), 15.0))
-    world.balancer.entry_vm_count = 8
+    world.balancer.installed_routes.apply(RouteTable(2, (BOARDS,), 15.0))
+    world.balancer.admission.entry_vm_count = 8
     for _ in range(20):
         caller = world.caller()
         caller.establish()
@@ -130,7 +130,7 @@
     labels = list(world.balancer.server_list.labels._servers)
     for number in range(senders):
         report = LoadReport(1, sequence, dict.fromkeys(labels, count))
-        world.balancer.peer_loads.record(f"front-{number + 2}", report, world.now)
+        world.balancer.admission.peer_loads.record(f"front-{number + 2}", report, world.now)
 
 
 def test_a_flow_is_refused_by_what_the_others_report(busy_world):
@@ -154,4 +154,4 @@
     exchange._balancer, exchange._group = world.balancer, own_group()
     assert not exchange.handle(payload, "127.0.0.9")
     assert world.balancer.counters["load_reports_rejected"] == 1
-    assert world.balancer.peer_loads.count_reporting(world.now) == 0
+    assert world.balancer.admission.peer_loads.count_reporting(world.now) == 0
--- a/tests/test_restore_borders.py
+++ b/tests/test_restore_borders.py
@@ -175,7 +175,7 @@
 
 def loaded_follower():
     balancer = FlowBalancer(SETTINGS, Random(1), 0.0)
-    balancer.apply_routes(route_table())
+    balancer.installed_routes.apply(route_table())
     entries = record("s-1", 90), record("s-2", 95)
     balancer.server_list.apply(snapshot(*entries, revision=100, era=ERA), 0.0)
     reader = StateReader(SETTINGS, balancer, own_group(), None, StatePublisher(balancer))
@@ -235,7 +235,7 @@
 
 def loaded_vm():
     vm = PacketVm(SETTINGS, None, lambda settings, balancer: None, lambda: None)
-    vm.balancer.apply_routes(route_table())
+    vm.balancer.installed_routes.apply(route_table())
     entries = record("s-1", 90), record("s-2", 95)
     vm.balancer.server_list.apply(snapshot(*entries, revision=100, era=ERA), 0.0)
     vm.balancer.server_list.confirm(time.monotonic())
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -196,11 +196,11 @@
         publisher.notify()
         await waiting
         assert names(follower) == ["s-2"]
-        leader.balancer.apply_routes(route_table(version=2, service="other"))
+        leader.balancer.installed_routes.apply(route_table(version=2, service="other"))
         await ask(0.0)
         assert follower.routes.version == 2
         assert follower.routes.routes() == leader.balancer.routes.routes()
-        leader.balancer.apply_routes(RouteTable(3, (), 15.0))
+        leader.balancer.installed_routes.apply(RouteTable(3, (), 15.0))
         await ask(0.0)
         assert len(follower.routes) == 0
 
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -174,7 +174,7 @@
     )
     balancer = FlowBalancer(settings, Random(1), 0.0)
     route = Route(ROUTE_IP, 443, (WeightedService("booking", 1.0),))
-    balancer.apply_routes(RouteTable(1, (route,), 15.0))
+    balancer.installed_routes.apply(RouteTable(1, (route,), 15.0))
     records = tuple(make_record(number) for number in range(servers))
     balancer.server_list.apply(ListChanges(records, (), True, StateVersion(0, servers + 1)), 0.0)
     balancer.server_list.confirm(0.0)
