A server whose entry expired may have started again, and its limit for cold servers applies

Cause: entries expire after three heartbeats of silence. A server that starts again under its name takes flows before entry VMs have read its new entry; while all others are drained or dark, the first that answers took the flows of the whole fleet.

Ruled out: shorter pauses between reads (the flood takes 0.1 s).

--- a/marjoramford/opaque_flows/cold_starts.py
+++ b/marjoramford/opaque_flows/cold_starts.py
@@ -208,7 +208,7 @@
 
     def _forget_warm_servers(self, now: float) -> None:
         for key, share in list(self._shares.items()):
-            if share.server.warm_at <= now or share.server.gone:
+            if share.server.gone or not _may_be_cold(share.server, now):
                 del self._shares[key]
 
     def may_open(self, server: BackendServer, limit: float, now: float) -> bool:
@@ -293,5 +293,9 @@
 
 
 def is_limited(server: BackendServer, limit: float, now: float) -> bool:
-    """Returns whether a server is cold and the flows that open there are limited."""
-    return limit > 0 and server.warm_at > now
+    """Returns whether a server may be cold and the flows that open there are limited."""
+    return limit > 0 and _may_be_cold(server, now)
+
+
+def _may_be_cold(server: BackendServer, now: float) -> bool:
+    return server.warm_at > now or server.may_have_restarted
--- a/marjoramford/opaque_flows/server_lists.py
+++ b/marjoramford/opaque_flows/server_lists.py
@@ -335,6 +335,7 @@
         if server.unlisted_since is not None:
             log_event(logger, LogEvent.SERVER_LISTED, server=server.name, again=True)
             server.unlisted_since = None
+            server.may_have_restarted = False
             self._unlisted.pop(server.name, None)
 
     def _remove(self, name: str, revision: int, now: float) -> None:
@@ -366,6 +367,10 @@
         if server.unlisted_since is not None:
             return
         server.unlisted_since = now
+        # While the platform answers, an entry expires only after its server was silent for long; a
+        # restored copy may lack those of servers that live.
+        is_restored = self._era_began_at == now
+        server.may_have_restarted = self.recovered_at is None and not is_restored
         log_event(
             logger,
             LogEvent.SERVER_UNLISTED,
--- a/marjoramford/shared/backend_servers.py
+++ b/marjoramford/shared/backend_servers.py
@@ -101,6 +101,8 @@
         separable: whether the label of its flows is used by no other server.
         unverified: whether it was gone before the platform was restored from a copy that lists it;
             its flows continue, but only a later entry or time shows that it runs.
+        may_have_restarted: whether its entry expired while the platform was well, so that it may
+            have started again under its name and be cold; set only for opaque flows.
         zone_drained: whether its zone is drained, so that no new flow opens here; set only for
             opaque flows.
     """
@@ -130,6 +132,7 @@
     unlisted_since: float | None = None
     separable: bool = True
     unverified: bool = False
+    may_have_restarted: bool = False
     zone_drained: bool = False
     responsiveness: Responsiveness = msgspec.field(default_factory=Responsiveness)
     _in_progress_history: deque[tuple[float, int]] = msgspec.field(default_factory=_make_history)
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -44,7 +44,17 @@
 from marjoramford.shared.entry_vms import EntryVm
 from marjoramford.shared.logs import LogEvent
 
-from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, FlowWorld, record, route_table
+from .flow_worlds import (
+    ROUTE_IP,
+    ROUTE_PORT,
+    SETTINGS,
+    START,
+    FlowWorld,
+    record,
+    removal,
+    route_table,
+    upsert,
+)
 from .flow_worlds import snapshot as whole_list
 
 LIMITS = range(1, 21)
@@ -416,6 +426,33 @@
     assert isinstance(caller.open(), DropPacket)
 
 
+def unlisted_world(platform_was_lost):
+    """The only server's entry has expired, and its limit would leave two flows a second."""
+    world = cold_world(limit=1.0, warm_at=0.0)
+    if platform_was_lost:
+        world.balancer.server_list.mark_unreachable(world.now)
+        run(world, 3.0)
+    world.apply(removal("s-1", 101))
+    assert world.server("s-1").unlisted_since == world.now
+    return world
+
+
+def test_a_server_whose_entry_expired_may_have_started_again_and_is_cold_then():
+    """Its new start took the flows of all entry VMs until they had read its new entry."""
+    world = unlisted_world(platform_was_lost=False)
+    world.caller().open()
+    run(world, 1.0)
+    assert len(take_all_tokens(world)) <= bound(1)
+    world.apply(upsert(record("s-1", 102)))
+    assert all(isinstance(world.caller().open(), Forward) for _ in range(100))
+
+
+def test_servers_whose_entries_expired_in_an_outage_are_not_limited():
+    """They live: nothing but the platform was away."""
+    world = unlisted_world(platform_was_lost=True)
+    assert all(isinstance(world.caller().open(), Forward) for _ in range(100))
+
+
 def test_a_late_copy_is_forwarded_to_an_answering_cold_server_with_a_token():
     world = cold_world(limit=20.0)
     world.caller().open()
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -184,6 +184,13 @@
         # servers were cold (FAILBACK).
         pytest.param(GRIEVANCE, 3, id="copies to a new start"),
         pytest.param(HERITAGE, 2, id="restarts within a second"),
+        # Servers whose entries had expired took flows at their new start before it was listed.
+        pytest.param(GRIEVANCE, 7, id="starts of unlisted servers, seed 7"),
+        pytest.param(GRIEVANCE, 8, id="starts of unlisted servers, seed 8"),
+        pytest.param(HERITAGE, 6, id="starts of unlisted servers, seed 6"),
+        # All servers in use are silent for a second, and the first that answers takes all flows.
+        pytest.param(GRIEVANCE, 5, id="starts of listed servers, seed 5"),
+        pytest.param(GRIEVANCE, 11, id="starts of listed servers, seed 11"),
     ],
 )
 def test_zones_that_stop_and_drain_break_no_rule(deployment, seed):
