Shares of limits grow only after the leases of earlier views have ended

Cause: an entry VM that joined got its share 10 s later, while a lease that another had granted before it knew of the join lasted up to 60 s. 45 parts of a limit of 40 were usable.

Change: a smaller share from a superseded view stays in force for the length of a lease of that resource longer. Cost: an entry VM that joins borrows connections for 70 s in place of 10.

--- a/marjoramford/token_flows/balancers.py
+++ b/marjoramford/token_flows/balancers.py
@@ -41,7 +41,7 @@
 from .handovers import Handover
 from .invariants import Invariants
 from .keys import KeyRing
-from .limits import LimitShares
+from .limits import LimitShares, Resource
 from .nodes import Node
 from .publications import Publications
 from .reply_suppressors import ReplySuppressor
@@ -270,6 +270,15 @@
         policy=POLICIES[settings.load.policy],
         entry_vms=entry_vms,
         reply_suppressor=ReplySuppressor(entry_vms),
-        limits=LimitShares(identity.name, identity.zone, times.limit_hold, times.clock_error),
+        limits=LimitShares(
+            identity.name,
+            identity.zone,
+            times.limit_hold,
+            times.clock_error,
+            {
+                Resource.CONNECTIONS: times.connection_lease,
+                Resource.LOAD: times.load_lease,
+            },
+        ),
         control_bytes=TokenBucket(control.bytes_per_second, control.burst_bytes, now),
     )
--- a/marjoramford/token_flows/limits.py
+++ b/marjoramford/token_flows/limits.py
@@ -2,9 +2,10 @@
 
 A limit is split evenly over availability zones, then over the entry VMs of a zone. Every entry VM
 computes the same split from the same list of entry VMs. A share shrinks at once, but grows only
-when every view in which it was smaller was superseded at least `hold_seconds` ago, or when a view
-that is settled (see `LimitShares.set_fleet`) replaces all earlier ones. So the shares never add up
-to more than the limit, even while entry VMs have different views of the fleet.
+when every view in which it was smaller was superseded at least `hold_seconds` and the length of a
+lease ago, or when a view that is settled (see `LimitShares.set_fleet`) replaces all earlier ones.
+So the shares never add up to more than the limit, even while entry VMs have different views of the
+fleet and while what was lent in an earlier view is still used.
 
 Entry VMs lend unused parts of their shares to each other. The borrower stops admitting under a
 lease before `expires_at`, and the lender counts it as lent until after `expires_at`, both by the
@@ -28,6 +29,10 @@
     LOAD = "load"
 
 
+# Length of the leases of each resource, in seconds, where the settings name no other.
+LEASE_SECONDS = {Resource.CONNECTIONS: 60.0, Resource.LOAD: 2.0}
+
+
 class LimitRequest(msgspec.Struct, frozen=True, array_like=True):
     """A request to other entry VMs to lend a part of a service's limit."""
 
@@ -68,18 +73,29 @@
     """This entry VM's share of every limit.
 
     Args:
-        hold_seconds: how long a smaller share from a superseded view stays in force.
+        hold_seconds: time within which all entry VMs know of a join.
         clock_error_seconds: upper bound of the difference between the clocks of two entry VMs.
+        lease_seconds: length of the leases of each resource; a smaller share from a superseded view
+            stays in force for this much longer than `hold_seconds`.
     """
 
-    def __init__(self, own_name: str, zone: str, hold_seconds: float, clock_error_seconds: float):
+    def __init__(
+        self,
+        own_name: str,
+        zone: str,
+        hold_seconds: float,
+        clock_error_seconds: float,
+        lease_seconds: Mapping[Resource, float] = LEASE_SECONDS,
+    ):
         self._own_name = own_name
         self._zone = zone
-        self._hold_seconds = hold_seconds
+        self._hold_seconds = {
+            resource: hold_seconds + seconds for resource, seconds in lease_seconds.items()
+        }
         self._clock_error_seconds = clock_error_seconds
         self._views: list[FleetView] = [FleetView({})]
         self._leases: dict[tuple[str, Resource], _Leases] = {}
-        self._base_shares: dict[tuple[str, int], int] = {}
+        self._base_shares: dict[tuple[str, Resource, int], int] = {}
         self._next_hold_ends_at = float("inf")
 
     def set_fleet(self, zones: Mapping[str, Iterable[str]], settled: bool, now: float) -> None:
@@ -147,7 +163,7 @@
                 del self._leases[key]
 
     def _unlent_share(self, service: str, resource: Resource, limit: int, now: float) -> int:
-        share = self._base_share(service, limit, now)
+        share = self._base_share(service, resource, limit, now)
         leases = self._leases.get((service, resource))
         if leases is None:
             return share
@@ -159,19 +175,25 @@
         return [*earlier, FleetView(newest.zones, superseded_at=now)]
 
     def _refresh(self, now: float) -> None:
-        hold_cutoff = now - self._hold_seconds
+        hold_cutoff = now - max(self._hold_seconds.values())
         self._views = [view for view in self._views if view.superseded_at > hold_cutoff]
-        hold_ends = [view.superseded_at + self._hold_seconds for view in self._views]
-        self._next_hold_ends_at = min(hold_ends)
+        hold_ends = (
+            view.superseded_at + seconds
+            for view in self._views
+            for seconds in self._hold_seconds.values()
+        )
+        self._next_hold_ends_at = min((end for end in hold_ends if end > now), default=float("inf"))
         self._base_shares.clear()
 
-    def _base_share(self, service: str, limit: int, now: float) -> int:
+    def _base_share(self, service: str, resource: Resource, limit: int, now: float) -> int:
         if now >= self._next_hold_ends_at:
             self._refresh(now)
-        key = (service, limit)
+        key = (service, resource, limit)
         share = self._base_shares.get(key)
         if share is None:
-            share = min(self._share_in(view, service, limit) for view in self._views)
+            hold_cutoff = now - self._hold_seconds[resource]
+            views = [view for view in self._views if view.superseded_at > hold_cutoff]
+            share = min(self._share_in(view, service, limit) for view in views)
             self._base_shares[key] = share
         return share
 
