A zone that is cut off opens flows at its own servers, also if it is drained

Change: zone_contacts concludes from silent servers of other zones and a lost platform that the zone is cut off. New flows then open at its own servers alone, drained or not (placement.drained_if_cut_off), and are refused at once if it has none.

--- a/marjoramford/opaque_flows/flow_admissions.py
+++ b/marjoramford/opaque_flows/flow_admissions.py
@@ -21,9 +21,11 @@
 from .placements import choose_server, own_requests
 from .routes import Route
 from .server_lists import ServerList
+from .zone_contacts import ZoneContact
 
 # Reasons for which opening packets are refused or dropped.
 ZONE_DRAINED = "zone drained"
+CUT_OFF = "zone cut off"
 COLD_SERVERS = "cold servers"
 NO_SERVER = "no server"
 
@@ -35,6 +37,7 @@
         settings: settings of the entry VM.
         server_list: the servers of all services.
         routes: the routes in force, with the limits of cold servers.
+        zone_contact: whether other zones can be reached.
         random: draws refusals, and breaks ties between servers.
         counters: counts refusals and openings at cold servers, by name.
         now: time on the monotonic clock, in seconds.
@@ -50,6 +53,7 @@
         settings: PacketVmSettings,
         server_list: ServerList,
         routes: InstalledRoutes,
+        zone_contact: ZoneContact,
         random: Random,
         counters: Counter[str],
         now: float,
@@ -57,6 +61,7 @@
         self._settings = settings
         self._server_list = server_list
         self._routes = routes
+        self._zone_contact = zone_contact
         self._random = random
         self._counters = counters
         self._overload_controls: dict[str, OverloadControl] = {}
@@ -112,12 +117,15 @@
         # Judged again for each flow: slots may have become free since the last tick.
         return self._are_slots_taken(service, now)
 
-    def explain_no_server(self, service: str) -> str:
+    def explain_no_server(self, service: str, now: float) -> str:
         """Returns why no server can take a flow, and counts the refusal by its reason."""
         servers = self._server_list.servers.of_service(service)
-        if any(server.accepts_work for server in servers):
+        if any(self.accepts(server, now) for server in servers):
             self._counters["cold_refused"] += 1
             return COLD_SERVERS
+        if self._zone_contact.is_cut_off(now):
+            self._counters["refused_cut_off"] += 1
+            return CUT_OFF
         if any(s.zone_drained and not (s.leaving or s.gone) for s in servers):
             self._counters["refused_zone_drained"] += 1
             return ZONE_DRAINED
@@ -137,11 +145,14 @@
         """
         servers = self._server_list.servers.of_service(service)
         limit = self.warmup_limit(service)
-        if limit:
-            may_open = self.cold_starts.may_open
-            servers = [s for s in servers if s.accepts_work and may_open(s, limit, now)]
+        usable = [
+            server
+            for server in servers
+            if self.accepts(server, now)
+            and (not limit or self.cold_starts.may_open(server, limit, now))
+        ]
         server = choose_server(
-            servers,
+            usable,
             avoided,
             self._settings.zone,
             now,
@@ -153,6 +164,20 @@
             self._record_cold_opening(server, now)
         return server
 
+    def accepts(self, server: BackendServer, now: float) -> bool:
+        """Returns whether new flows may open at a server, regardless of its load and limit.
+
+        While the zone is cut off, its own servers alone can be reached, also if it is drained: a
+        drain moves work to other zones, and there is no way there.
+        """
+        if not self._zone_contact.is_cut_off(now):
+            return server.accepts_work
+        if server.zone != self._settings.zone:
+            return False
+        if self._settings.placement.drained_if_cut_off:
+            return server.accepts_work_if_drained
+        return server.accepts_work
+
     def warmup_limit(self, service: str) -> float:
         """Returns the flows per second that may open at a cold server; 0 if there is no limit."""
         return self._routes.warmup_limit(service)
--- a/marjoramford/opaque_flows/flow_balancers.py
+++ b/marjoramford/opaque_flows/flow_balancers.py
@@ -32,6 +32,7 @@
 from .server_lists import ServerList
 from .silence_evidence import CONDEMNED, DEAD, SilenceEvidence
 from .unknown_labels import UnknownLabels
+from .zone_contacts import ZoneContact
 
 logger = logging.getLogger(__name__)
 
@@ -74,10 +75,17 @@
         self.counters: Counter[str] = Counter()
         self.installed_routes = self.routes_type()
         self.server_list = self.list_type(settings.servers)
+        zone_contact = ZoneContact(settings.zone, self.server_list)
         self.admission = self.admission_type(
-            settings, self.server_list, self.installed_routes, random, self.counters, now
+            settings,
+            self.server_list,
+            self.installed_routes,
+            zone_contact,
+            random,
+            self.counters,
+            now,
         )
-        self.evidence = SilenceEvidence(settings, self.server_list, self._flows, now)
+        self.evidence = SilenceEvidence(settings, self.server_list, self._flows, zone_contact, now)
         self.opening_latencies = LatencyHistogram()
         self.answer_latencies = LatencyHistogram()
 
@@ -147,7 +155,7 @@
         if flow is not None and flow.first_sequence == header.sequence:
             if flow.opening:
                 return self._handle_repeated_opening(flow, now)
-            return self._repeat_opening(flow)
+            return self._repeat_opening(flow, now)
         route = self.routes.find(header.flow.route_ip, header.flow.route_port)
         if route is None:
             return self._refuse(header.flow, "no route")
@@ -158,7 +166,7 @@
             return self._refuse(header.flow, "overload")
         server = self.admission.place(service, (), now)
         if server is None:
-            reason = self.admission.explain_no_server(service)
+            reason = self.admission.explain_no_server(service, now)
             if reason in (ZONE_DRAINED, COLD_SERVERS) and _opened_elsewhere(flow, now):
                 return self._drop(reason)
             return self._refuse(header.flow, reason)
@@ -188,10 +196,12 @@
         answered = server.responsiveness.answered_at >= flow.waiting_since
         within_copy_interval = now - flow.waiting_since < self._settings.placement.copy_seconds
         if within_copy_interval:
-            return self._repeat_opening(flow) if is_allowed else self._drop("route has changed")
-        may_stay = answered and is_allowed and server.accepts_work
+            if not is_allowed:
+                return self._drop("route has changed")
+            return self._repeat_opening(flow, now)
+        may_stay = answered and is_allowed and self.admission.accepts(server, now)
         if may_stay and self.admission.take_token(server, now):
-            return self._repeat_opening(flow)
+            return self._repeat_opening(flow, now)
         if not answered:
             self.evidence.record_silent_opening(server, flow.waiting_since, now)
         service = server.service if is_allowed else route.choose_service(self._random)
@@ -205,7 +215,7 @@
                 self.counters["cold_refused"] += 1
                 return self._drop("cold server")
         if alternative is None or alternative is server:
-            return self._repeat_opening(flow)
+            return self._repeat_opening(flow, now)
         return self._move_opening(flow, alternative, now)
 
     def _move_opening(
@@ -221,11 +231,12 @@
         log_placement(LogEvent.FLOW_MOVED, flow, self.routes, self.server_list, now)
         return Forward(alternative, flow.label)
 
-    def _repeat_opening(self, flow: PacketFlow) -> PacketAction:
+    def _repeat_opening(self, flow: PacketFlow, now: float) -> PacketAction:
         """Forwards a copy of an opening packet to the flow's server, unless its zone is drained."""
         # The server may have been replaced by another at its address; `zone_drained` of one that is
         # no longer in the list does not change.
-        if self.server_list.drains.is_drained(flow.server.zone):
+        is_drained = self.server_list.drains.is_drained(flow.server.zone)
+        if is_drained and not self.admission.accepts(flow.server, now):
             return self._drop(ZONE_DRAINED)
         return Forward(flow.server, flow.label)
 
--- a/marjoramford/opaque_flows/flow_settings.py
+++ b/marjoramford/opaque_flows/flow_settings.py
@@ -108,6 +108,8 @@
         cold_penalty: the same for a server that is still warming up.
         open_flow_weight: load of an open but idle flow, in requests.
         tie_tolerance: estimates that differ by at most this share of busy slots are equal.
+        drained_if_cut_off: whether flows of a zone that is drained and cut off open at its own
+            servers.
         copy_seconds: an opening packet that is retransmitted after this time without an answer
             goes to another server if one can take it, in seconds; below the protocol's 0.2 s to the
             first retransmission.
@@ -117,6 +119,7 @@
     cold_penalty: Share = 0.5
     open_flow_weight: Share = 0.1
     tie_tolerance: Share = 0.05
+    drained_if_cut_off: bool = True
     copy_seconds: Seconds = 0.1
 
 
--- a/marjoramford/opaque_flows/placements.py
+++ b/marjoramford/opaque_flows/placements.py
@@ -5,7 +5,7 @@
 callers stay; callers that move from one zone to another.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from ..shared.backend_servers import BackendServer
@@ -19,7 +19,7 @@
 
 
 def choose_server(
-    servers: Iterable[BackendServer],
+    servers: Sequence[BackendServer],
     avoided: Sequence[BackendServer],
     zone: str,
     now: float,
@@ -27,14 +27,14 @@
     random: Random,
     count_requests: Callable[[BackendServer], int] = own_requests,
 ) -> BackendServer | None:
-    """Returns the server at which a flow opens; None if no server accepts new flows.
+    """Returns the server at which a flow opens; None if there is none.
 
     Listed servers that answer are preferred to listed ones under suspicion, and those to servers
     that have left the list. Within the best non-empty group the least-loaded server is chosen; a
     server in another zone must be less loaded by a margin.
 
     Args:
-        servers: the servers of the flow's service.
+        servers: the servers of the flow's service that accept new flows.
         avoided: servers that did not answer this flow's opening packet; used only if there is no
             other.
         zone: this entry VM's availability zone.
@@ -43,9 +43,8 @@
         random: breaks ties between equal estimates.
         count_requests: returns the known requests in progress at a server.
     """
-    usable = [server for server in servers if server.accepts_work]
-    candidates = _preferred_servers([server for server in usable if server not in avoided], now)
-    candidates = candidates or _preferred_servers(usable, now)
+    candidates = _preferred_servers([server for server in servers if server not in avoided], now)
+    candidates = candidates or _preferred_servers(servers, now)
     if not candidates:
         return None
     scores = [
@@ -54,7 +53,7 @@
     return choose_near_lowest(candidates, scores, settings.tie_tolerance, random)
 
 
-def _preferred_servers(servers: list[BackendServer], now: float) -> list[BackendServer]:
+def _preferred_servers(servers: Sequence[BackendServer], now: float) -> Sequence[BackendServer]:
     listed = [server for server in servers if server.unlisted_since is None]
     answering = [server for server in listed if server.responsiveness.suspected_until <= now]
     return answering or listed or servers
--- a/marjoramford/opaque_flows/published_states.py
+++ b/marjoramford/opaque_flows/published_states.py
@@ -121,7 +121,7 @@
     changes = ListChanges(records, state.removed, state.whole, version, state.drains)
     if server_list.apply(changes, now):
         recovered_at = float("-inf") if state.reachable is None else now - state.reachable
-        server_list.confirm(now - state.age, recovered_at)
+        server_list.confirm(now - state.age, recovered_at, state.reachable == 0)
     return state.era == server_list.version.era
 
 
--- a/marjoramford/opaque_flows/server_lists.py
+++ b/marjoramford/opaque_flows/server_lists.py
@@ -92,6 +92,7 @@
         self._lost_at = float("-inf")
         self._reachable_since = float("inf")
         self._peer_recovered_at = float("-inf")
+        self._is_lost_at_peer = False
         self._era_began_at = float("-inf")
 
     @property
@@ -126,6 +127,11 @@
             return None
         return recovered_at
 
+    @property
+    def is_platform_lost(self) -> bool:
+        """Whether the platform does not answer, by the last news from it or from a peer."""
+        return self._lost_at > self.confirmed_at or self._is_lost_at_peer
+
     def preload(self, records: Iterable[VmRecord]) -> None:
         """Makes servers known by label while the first list is still being read.
 
@@ -386,7 +392,12 @@
             oldest = next(iter(self._removed))
             self._removals_known_since = max(self._removals_known_since, self._removed.pop(oldest))
 
-    def confirm(self, confirmed_at: float, recovered_at: float = float("-inf")) -> None:
+    def confirm(
+        self,
+        confirmed_at: float,
+        recovered_at: float = float("-inf"),
+        is_lost_at_peer: bool = False,
+    ) -> None:
         """Records that the list matched the platform's at a time on the monotonic clock.
 
         A confirmation from before the last failed read here, which a peer may pass on during an
@@ -396,7 +407,9 @@
             confirmed_at: time of the confirmation.
             recovered_at: when the peer that passes it on had the platform again after an
                 interruption.
+            is_lost_at_peer: whether the platform does not answer that peer.
         """
+        self._is_lost_at_peer = is_lost_at_peer
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self._peer_recovered_at = max(self._peer_recovered_at, recovered_at)
         if confirmed_at > self._lost_at:
--- a/marjoramford/opaque_flows/silence_evidence.py
+++ b/marjoramford/opaque_flows/silence_evidence.py
@@ -23,6 +23,7 @@
 from .packet_flows import PacketFlow, PacketFlowTable
 from .server_lists import ServerList
 from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey, Verdicts
+from .zone_contacts import ZoneContact
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +41,7 @@
         settings: settings of the entry VM.
         server_list: the servers of all services.
         flows: the flows of this entry VM.
+        zone_contact: gets the evidence on servers of other zones.
         now: time on the monotonic clock, in seconds.
 
     Attributes:
@@ -51,11 +53,13 @@
         settings: PacketVmSettings,
         server_list: ServerList,
         flows: PacketFlowTable,
+        zone_contact: ZoneContact,
         now: float,
     ):
         self._settings = settings
         self._server_list = server_list
         self._flows = flows
+        self._zone_contact = zone_contact
         self._loss_detector = LossDetector(settings.silence)
         self._own_link = OwnLinkMonitor()
         self._quick_call_at = float("-inf")
@@ -113,11 +117,13 @@
             self._loss_detector.record_loss(now)
             log_event(logger, LogEvent.SERVER_ANSWERS, server=server.name)
         server.responsiveness.record_answer(now)
+        self._zone_contact.record_answer(server, now)
 
     def record_retransmission(self, flow: PacketFlow, now: float) -> None:
         """Records that a caller retransmitted data that a flow's server has not answered."""
         server = flow.server
         self._own_link.record_retransmission(server.name, now)
+        self._zone_contact.record_silence(server)
         if flow.waiting_since >= server.responsiveness.answered_at:
             self._suspect(server, flow.waiting_since, now)
         server.responsiveness.record_retransmission(
@@ -132,6 +138,7 @@
         It is no more than suspected: a full server does not answer opening packets.
         """
         self._suspect(server, waiting_since, now)
+        self._zone_contact.record_silence(server)
         self.verdicts.record_silent_opening(key_of(server), waiting_since, now)
 
     def record_call(self, called_at: float, now: float) -> None:
@@ -311,6 +318,7 @@
 
     def _discard(self, now: float) -> None:
         self.verdicts.discard()
+        self._zone_contact.discard()
         for server in self._server_list.servers.values():
             server.responsiveness.discard_evidence()
         for flow in self._flows:
--- a/marjoramford/shared/backend_servers.py
+++ b/marjoramford/shared/backend_servers.py
@@ -140,9 +140,12 @@
     @property
     def accepts_work(self) -> bool:
         """Whether it may receive new requests or flows, regardless of its load and ejection."""
-        return self.separable and not (
-            self.leaving or self.gone or self.unverified or self.zone_drained
-        )
+        return self.accepts_work_if_drained and not self.zone_drained
+
+    @property
+    def accepts_work_if_drained(self) -> bool:
+        """Whether it may receive new flows, regardless also of a drain of its zone."""
+        return self.separable and not (self.leaving or self.gone or self.unverified)
 
     def is_open(self, now: float) -> bool:
         """Returns whether another request may be dispatched to it now."""
