A start reads old pages and the changes since them; followers watch on from what they followed

Cause: each start read all servers and all of the operator's entries, two calls at full price, and each follower that began to read did so again.

Change: the first read asks for pages that may be seconds old, which cost a tenth, and then for the changes since the oldest of them, which is one call and always current. A reader goes on from the version that a peer's state has brought. Without that history everything is read, as before.

--- a/marjoramford/opaque_flows/read_cursors.py
+++ b/marjoramford/opaque_flows/read_cursors.py
@@ -49,6 +49,8 @@
 
     def __init__(self) -> None:
         self._version = NOTHING_READ
+        # The latest version after which the platform had no history.
+        self._history_gone_at = NOTHING_READ
 
     @property
     def version(self) -> StateVersion:
@@ -64,6 +66,15 @@
         """Records that everything up to a revision of the current era was read."""
         self._version = StateVersion(self._version.era, revision)
 
+    def adopt(self, version: StateVersion) -> None:
+        """Records that everything up to a version came from a peer.
+
+        It is ignored if it is of another era, or if the platform has no history since then.
+        """
+        is_known = version.era == self._version.era and version > self._version
+        if is_known and version > self._history_gone_at:
+            self._version = version
+
     def learn_era(self, era: int) -> bool:
         """Records an era; returns whether it is new, so that a whole read is due."""
         known = self._version
@@ -90,6 +101,7 @@
             case AnswerKind.REFUSAL:
                 return RejectAnswer("refused")
             case AnswerKind.HISTORY_GONE if not is_new:
+                self._history_gone_at = self._version
                 self._version = StateVersion(era, 0)
                 return RejectAnswer("history is gone")
         return ReadEverything() if is_new else UseAnswer()
--- a/marjoramford/platform/stores.py
+++ b/marjoramford/platform/stores.py
@@ -61,19 +61,12 @@
 
 
 class _Items(msgspec.Struct, frozen=True):
-    """Entries read in pages, and the store's revision at the first page."""
+    """Entries read in pages, and the store's revision at the oldest page."""
 
     items: list[msgspec.Raw]
     revision: int
 
 
-class _Preload(msgspec.Struct, frozen=True):
-    """The servers' entries and when they were asked for, on the monotonic clock in seconds."""
-
-    servers: _Items
-    asked_at: float
-
-
 class _Changes(msgspec.Struct, frozen=True):
     events: tuple[msgspec.Raw, ...]
     as_of: int
@@ -82,8 +75,9 @@
 class StoreReader:
     """Reads all entries once, then watches for changes.
 
-    All entries are read again if the store no longer has the history since the last read, or if it
-    was restored from a copy.
+    The first read takes pages that may be seconds old, which cost a tenth, and the changes since
+    then. All entries are read again if the store no longer has the history since the last read, or
+    if it was restored from a copy.
 
     Args:
         settings: settings of the entry VM.
@@ -99,7 +93,8 @@
         self._balancer = balancer
         self._client = client or self._make_client()
         self._cursor = ReadCursor()
-        self._preloaded: _Preload | None = None
+        # Entries of the servers, which may be old.
+        self._preloaded: _Items | None = None
 
     def use_asyncio(self) -> None:
         """Makes the next calls with a client that needs a running asyncio loop."""
@@ -116,6 +111,11 @@
         """
         # A peer may have shown the new era while the store did not answer here.
         self._cursor.learn_era(self._balancer.server_list.version.era)
+        self._adopt_followed_version()
+        preloaded, self._preloaded = self._preloaded, None
+        is_useful = preloaded is not None and self._cursor.whole_read_due
+        if is_useful and await self._complete_preload(preloaded):
+            return Ok(True)
         if not self._cursor.whole_read_due:
             match await self._watch(wait):
                 case Ok(ReadEverything()):
@@ -124,6 +124,11 @@
                     return result
         return await self._read_all()
 
+    def _adopt_followed_version(self) -> None:
+        """Watches on from the version that a peer's state has brought, instead of reading all."""
+        if self._balancer.ready and self._balancer.installed_routes.are_limits_known:
+            self._cursor.adopt(self._balancer.server_list.known_version)
+
     async def _read_all(self) -> Result[bool, StepError]:
         for _ in range(MAX_WHOLE_READS):
             match await self._read_pages():
@@ -137,12 +142,11 @@
         """Reads the servers alone, so that packets of open flows can be forwarded.
 
         The first read then needs only the operator's entries, which are larger where there are many
-        routes.
+        routes, and the changes since the servers were read.
         """
-        asked_at = time.monotonic()
-        match await self._read_prefix(SERVER_PREFIX, AnswerKind.FIRST_PAGE):
+        match await self._read_prefix(SERVER_PREFIX, AnswerKind.FIRST_PAGE, may_be_old=True):
             case Ok(_Items() as servers):
-                self._preloaded = _Preload(servers, asked_at)
+                self._preloaded = servers
                 self._preload_list(servers.items)
                 return Ok(None)
             case Ok():
@@ -157,51 +161,61 @@
         records = (decode_server(item.ok_value, now) for item in decoded if item.is_ok())
         self._balancer.server_list.preload(r.ok_value for r in records if r.is_ok())
 
+    async def _complete_preload(self, servers: "_Items") -> bool:
+        """Reads the operator's entries and what has changed since the preload; applies all.
+
+        Returns:
+            Whether the state is complete. It is not if one of the reads failed, or if a peer has
+            brought a newer list meanwhile, which a whole would not replace.
+        """
+        read = await self._read_prefix(OPERATOR_PREFIX, AnswerKind.NEXT_PAGE, may_be_old=True)
+        if read.is_err() or isinstance(read.ok_value, ReadEverything):
+            return False
+        operator = read.ok_value
+        revision = min(servers.revision, operator.revision)
+        asked_at = time.monotonic()
+        changes = await self._get_changes(revision, 0.0)
+        if changes.is_err() or isinstance(changes.ok_value, ReadEverything):
+            return False
+        version = StateVersion(self._cursor.version.era, revision)
+        if version < self._balancer.server_list.version:
+            return False
+        applied = self._apply(servers.items + operator.items, True, revision)
+        if applied.is_ok():
+            applied = self._apply(changes.ok_value.events, False, changes.ok_value.as_of, asked_at)
+        return applied.is_ok()
+
     async def _read_pages(self) -> Result[bool | ReadEverything, StepError]:
-        preload, self._preloaded = self._preloaded, None
-        if preload is not None and self._is_overtaken(preload):
-            preload = None
-        if preload is None:
-            asked_at = time.monotonic()
-            read = await self._read_prefix("", AnswerKind.FIRST_PAGE)
-        else:
-            asked_at = preload.asked_at
-            read = await self._read_prefix(OPERATOR_PREFIX, AnswerKind.NEXT_PAGE)
-        match read:
+        asked_at = time.monotonic()
+        match await self._read_prefix("", AnswerKind.FIRST_PAGE):
             case Ok(_Items(items, revision)):
-                if preload is not None:
-                    # Also if it is 0, so that changes of servers between the two reads are seen.
-                    items, revision = preload.servers.items + items, preload.servers.revision
                 return self._apply(items, True, revision, asked_at).map(lambda _: True)
             case result:
                 return result
 
-    def _is_overtaken(self, preload: _Preload) -> bool:
-        """Whether a peer has brought a newer list since, so that the whole would be refused."""
-        version = StateVersion(self._cursor.version.era, preload.servers.revision)
-        return version < self._balancer.server_list.version
-
     async def _read_prefix(
-        self, prefix: str, kind: AnswerKind
+        self, prefix: str, kind: AnswerKind, may_be_old: bool = False
     ) -> Result["_Items | ReadEverything", StepError]:
         """Reads the entries whose keys begin with a prefix, in pages.
 
         Args:
             prefix: prefix of the keys, as in a query; empty for all entries.
             kind: kind of the first page, `NEXT_PAGE` if it continues an earlier read.
+            may_be_old: whether the entries may be seconds old, as of the revision of each page.
         """
         after = ""
         items: list[msgspec.Raw] = []
-        revision = 0
+        revision = None
         while True:
             query = f"prefix={prefix}" + (f"&after={_quote(after)}" if after else "")
+            query += "&allow_stale=1" if may_be_old else ""
             reply = await self._get(f"/v1/kv-range?{query}", _Page, kind, self._timeout)
             if reply.is_err() or isinstance(reply.ok_value, ReadEverything):
                 return reply
             page = reply.ok_value
-            # The pages are no consistent snapshot; watching from the first page's revision misses
+            # The pages are no consistent snapshot; watching from the oldest page's revision misses
             # no change.
-            revision = revision or page.as_of
+            revision = page.as_of if revision is None else min(revision, page.as_of)
             items.extend(page.items)
             if not page.has_more or not page.items:
                 return Ok(_Items(items, revision))
@@ -212,22 +226,28 @@
             kind = AnswerKind.NEXT_PAGE
 
     async def _watch(self, wait: float) -> Result[bool | ReadEverything, StepError]:
-        watched = self._cursor.version.revision
-        query = f"prefix=&after={watched}&wait_ms={int(wait * 1000)}"
         asked_at = time.monotonic()
-        target = f"/v1/kv-watch?{query}"
-        reply = await self._get(target, _Changes, AnswerKind.CHANGES, wait + self._timeout)
+        reply = await self._get_changes(self._cursor.version.revision, wait)
         if reply.is_err() or isinstance(reply.ok_value, ReadEverything):
             return reply
         changes = reply.ok_value
-        if changes.as_of < watched:
-            return self._fail("store revision went backwards")
         # Without events the store answers only at the end of the wait; a second copy of an earlier
         # answer may come before.
         confirmed_at = asked_at if changes.events else min(asked_at + wait, time.monotonic())
         applied = self._apply(changes.events, False, changes.as_of, confirmed_at)
         return applied.map(lambda _: bool(changes.events))
 
+    async def _get_changes(
+        self, revision: int, wait: float
+    ) -> Result["_Changes | ReadEverything", StepError]:
+        """Gets the changes after a revision, waiting up to `wait` seconds for one."""
+        target = f"/v1/kv-watch?prefix=&after={revision}&wait_ms={int(wait * 1000)}"
+        reply = await self._get(target, _Changes, AnswerKind.CHANGES, wait + self._timeout)
+        match reply:
+            case Ok(_Changes(as_of=as_of)) if as_of < revision:
+                return self._fail("store revision went backwards")
+        return reply
+
     async def _get(
         self, target: str, answer_type: type, kind: AnswerKind, timeout: float
     ) -> Result[msgspec.Struct | ReadEverything, StepError]:
@@ -271,8 +291,21 @@
         return StepError(Step.READ_PLATFORM, "store", reason)
 
     def _apply(
-        self, raw_items: Iterable[msgspec.Raw], whole: bool, revision: int, confirmed_at: float
+        self,
+        raw_items: Iterable[msgspec.Raw],
+        whole: bool,
+        revision: int,
+        confirmed_at: float | None = None,
     ) -> Result[None, StepError]:
+        """Applies entries or changes; see `ListChanges`.
+
+        Args:
+            raw_items: the entries or events.
+            whole: whether these are all entries.
+            revision: revision of the store that they lead to.
+            confirmed_at: when the store was asked, on the monotonic clock in seconds; None if they
+                may be old.
+        """
         now = time.monotonic()
         records: list[VmRecord] = []
         removed: list[tuple[str, int]] = []
@@ -293,7 +326,8 @@
         changes = ListChanges(tuple(records), tuple(removed), whole, version, tuple(drains))
         if not server_list.apply(changes, now):
             return self._fail(f"answer {version} is older than the list {server_list.version}")
-        server_list.confirm(confirmed_at)
+        if confirmed_at is not None:
+            server_list.confirm(confirmed_at)
         self._cursor.advance(revision)
         return Ok(None)
 
--- a/marjoramford/standins/packet_stores.py
+++ b/marjoramford/standins/packet_stores.py
@@ -31,6 +31,7 @@
         revision: revision of the last change.
         calls: number of requests for each URL path.
         down: whether every request is answered with 503.
+        old_copy: what range reads that allow stale entries get; None for the newest entries.
     """
 
     def __init__(self, page_items: int = PAGE_ITEMS):
@@ -43,6 +44,7 @@
         self.revision = 1
         self.calls: Counter[str] = Counter()
         self.down = False
+        self.old_copy: StoreCopy | None = None
 
     def put(self, key: str, value: object) -> None:
         """Writes an item; `value` is encoded as JSON unless it is bytes."""
@@ -120,10 +122,13 @@
 
     def _range(self, query: dict[str, str]) -> HttpResponse:
         prefix, after = query.get("prefix", ""), query.get("after", "")
-        keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
-        page = [self._items[key] for key in keys[: self._page_items]]
+        source = StoreCopy(self._items, self.revision)
+        if query.get("allow_stale") == "1" and self.old_copy is not None:
+            source = self.old_copy
+        keys = sorted(key for key in source.items if key.startswith(prefix) and key > after)
+        page = [source.items[key] for key in keys[: self._page_items]]
         more = len(keys) > self._page_items
-        body = {"items": page, "has_more": more, "as_of": self.revision}
+        body = {"items": page, "has_more": more, "as_of": source.revision}
         return HttpResponse(200, msgspec.json.encode(body))
 
     async def _watch(self, query: dict[str, str]) -> HttpResponse:
--- a/marjoramford/standins/restore_drills.py
+++ b/marjoramford/standins/restore_drills.py
@@ -148,7 +148,8 @@
         self._handlers: dict[Address, Handler] = {}
         self._links: dict[Address, SimulatedLink] = {}
         self._zones: dict[Address, str] = {}
-        self._store_calls: set[asyncio.Task] = set()
+        # Ordered, so that calls that end together go on in the same order in each run.
+        self._store_calls: dict[asyncio.Task, None] = {}
         self.is_store_away = False
         self.report = DrillReport({})
         self.observes = False
@@ -170,7 +171,7 @@
     def take_store_away(self) -> None:
         """Cuts all calls to the store, and lets it answer none."""
         self.is_store_away = True
-        for call in self._store_calls:
+        for call in list(self._store_calls):
             call.cancel()
 
     def bring_store_back(self) -> None:
@@ -199,11 +200,11 @@
         if self.is_store_away:
             raise ConnectionRefusedError("the store is away")
         call = asyncio.ensure_future(self._store.answer(HttpRequest("GET", target, b"")))
-        self._store_calls.add(call)
+        self._store_calls[call] = None
         try:
             await asyncio.wait({call})
         finally:
-            self._store_calls.discard(call)
+            self._store_calls.pop(call, None)
             call.cancel()
         if call.cancelled():
             raise ConnectionResetError("the store went away")
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -13,12 +13,14 @@
 
 from marjoramford.opaque_flows.flow_balancers import FlowBalancer
 from marjoramford.opaque_flows.flow_labels import derive_label
-from marjoramford.opaque_flows.http_messages import HttpReply
+from marjoramford.opaque_flows.http_messages import HttpReply, HttpRequest
 from marjoramford.opaque_flows.packets import DropPacket, FlowKey, Forward, PacketHeader
+from marjoramford.opaque_flows.published_states import apply_state, decode_state
 from marjoramford.opaque_flows.state_publishers import StatePublisher
 from marjoramford.opaque_flows.state_readers import StateReader
 from marjoramford.platform.stores import StoreReader
 from marjoramford.shared.errors import Step, StepError
+from marjoramford.standins.packet_stores import PacketStore
 
 from .flow_worlds import ROUTE_IP, ROUTE_PORT, SETTINGS, START, record, snapshot
 from .test_platform_borders import own_group
@@ -119,7 +121,7 @@
                 return Ok(HttpReply(200, b'{"items":[],"as_of":0}'))
             items = [item("servers/s-1", msgspec.json.encode(ENTRY), 3)]
             # Watched from revision 5 on, the store has nothing new to tell.
-            if "op/" in target or "kv-watch" in target:
+            if "op/" in target or "after=5" in target:
                 items = []
             page = msgspec.json.encode({"items": items, "events": items, "as_of": 5})
             return Ok(HttpReply(200, page))
@@ -136,6 +138,104 @@
     asyncio.run(scenario())
 
 
+class CountedStore(PacketStore):
+    """A store that a reader calls without sockets; remembers the targets."""
+
+    def __init__(self):
+        super().__init__(page_items=2)
+        self.targets = []
+        for number in range(1, 6):
+            self.put(f"servers/s-{number}", ENTRY)
+        self.put("op/config", {"version": 1, "routes": []})
+
+    async def get(self, target, _timeout):
+        self.targets.append(target)
+        response = await self.answer(HttpRequest("GET", target, b""))
+        headers = {name.lower(): value for name, value in response.headers}
+        return Ok(HttpReply(response.status, response.body, headers))
+
+    def priced_calls(self):
+        """Returns the calls since the last time; one that allows old entries costs a tenth."""
+        targets, self.targets = self.targets, []
+        return sum(0.1 if "allow_stale=1" in target else 1 for target in targets)
+
+
+def make_store_reader(store):
+    balancer = FlowBalancer(SETTINGS, Random(1), START)
+    reader = StoreReader(SETTINGS, balancer)
+    reader._client = store
+    return balancer, reader
+
+
+def usable_servers(balancer):
+    return sorted(s.name for s in balancer.server_list.servers.values() if s.accepts_work)
+
+
+def test_a_start_reads_old_pages_and_the_changes_since_them():
+    """A whole read of 150 servers by each of 80 entry VMs cost more than all their watches."""
+
+    async def scenario():
+        store = CountedStore()
+        store.old_copy = store.take_copy()
+        store.remove("servers/s-1")
+        store.put("servers/s-9", ENTRY)
+        store.put("op/evacuate/a", {})
+        store.put("op/config", {"version": 2, "routes": []})
+        balancer, reader = make_store_reader(store)
+        assert (await reader.preload()).is_ok()
+        assert not balancer.server_list.loaded
+        assert (await reader.read(0.0)).is_ok()
+        assert store.priced_calls() < 1.5
+        balancer.server_list.expire(START + 60.0)
+        assert balancer.routes.version == 2
+        assert balancer.server_list.drains.is_drained("a")
+        assert {s.name for s in balancer.server_list.servers.values() if s.unlisted_since} == {
+            "s-1"
+        }
+        assert balancer.server_list.version.revision == store.revision
+        assert balancer.server_list.find_label(derive_label("s-9", 0)) is not None
+
+    asyncio.run(scenario())
+
+
+def test_old_pages_without_the_history_since_them_are_not_used():
+    async def scenario():
+        store = CountedStore()
+        store.old_copy = store.take_copy()
+        store.remove("servers/s-1")
+        store.compact_history()
+        balancer, reader = make_store_reader(store)
+        assert (await reader.preload()).is_ok()
+        assert (await reader.read(0.0)).is_ok()
+        assert usable_servers(balancer) == ["s-2", "s-3", "s-4", "s-5"]
+
+    asyncio.run(scenario())
+
+
+def test_a_follower_that_begins_to_read_watches_on_from_what_it_followed():
+    """Each change of the zone's readers cost a whole read."""
+
+    async def scenario():
+        store = CountedStore()
+        followed, source = make_store_reader(store)
+        assert (await source.read(0.0)).is_ok()
+        balancer, reader = make_store_reader(store)
+        body = await StatePublisher(followed).answer(0, 0, 0.0, era=0, routes_era=0)
+        assert apply_state(decode_state(body).unwrap(), balancer, START)
+        store.remove("servers/s-1")
+        store.targets.clear()
+        assert (await reader.read(0.0)).is_ok()
+        assert store.priced_calls() == 1
+        assert balancer.server_list.servers.get("s-1").unlisted_since is not None
+        store.put("servers/s-6", ENTRY)
+        store.compact_history()
+        assert (await reader.read(0.0)).is_err()
+        assert (await reader.read(0.0)).is_ok()
+        assert "s-6" in usable_servers(balancer)
+
+    asyncio.run(scenario())
+
+
 def test_a_preload_that_a_peer_has_overtaken_is_not_used():
     """A follower may read the platform itself hours later; that read must not count as failed."""
 
