The last reader of a zone is its standby

Cause: two readers a zone watched the store all the time, 1.25 calls a second each without changes and five with them.

Change: the last reader follows the others, and reads only while it can follow none of them. Larger zones keep all readers but one.

--- a/marjoramford/opaque_flows/flow_settings.py
+++ b/marjoramford/opaque_flows/flow_settings.py
@@ -232,8 +232,8 @@
         max_news: entry VMs described in one exchange; keeps two exchanges a round below 4 KB/s.
         far_share: share of the exchanges, and of the updates in them, that is for other zones.
         all_read_up_to: in a zone of at most this many entry VMs, each reads the platform itself.
-        min_readers: minimum number of readers in a larger zone; the number grows to half the
-            square root of the zone's size.
+        min_readers: minimum number of readers in a larger zone, with one standby; the number grows
+            to half the square root of the zone's size.
         all_read_wait: wait of a watch in a small zone; bounds the time until a connection that no
             longer answers is detected.
         reader_wait: wait of a reader's watch; bounds the age of the state that its followers get.
--- a/marjoramford/opaque_flows/peer_groups.py
+++ b/marjoramford/opaque_flows/peer_groups.py
@@ -6,6 +6,10 @@
 members compute the same readers by rendezvous hashing; there is no vote. Entry VMs with wide links
 come first: a table of thousands of routes fills a narrow link for seconds, and callers' packets are
 delayed or lost there.
+
+The last reader of a zone is its standby: it follows the others, and reads the platform only while
+none of them can be followed. So a zone of some tens of entry VMs costs the calls of one reader, and
+still has a reader that goes on at once.
 """
 
 import logging
@@ -178,8 +182,8 @@
         """Returns the source of the next read.
 
         During the backoff after a failed read of the platform: a fallback peer, or a pause if there
-        is none. In a small zone, or if this entry VM is a reader: the platform. Otherwise: the
-        first reader that is not being avoided, or the platform if all are.
+        is none. In a small zone, or if this entry VM is an active reader: the platform. Otherwise:
+        the first reader that is not being avoided, or the platform if all are.
         """
         if self._platform_failures and now < self._platform_retry_at:
             fallback_peer = self._choose_fallback_peer(now)
@@ -189,28 +193,28 @@
         readers = self._elect_readers()
         if readers is None:
             return ReadPlatform(self._settings.all_read_wait)
-        if self.entry_vms.own.name in readers:
-            return ReadPlatform(self._settings.reader_wait)
-        address = self._choose_reader(readers, now)
+        address = None
+        if self.entry_vms.own.name not in _active(readers):
+            address = self._choose_reader(readers, now)
         if address is not None:
             return FollowPeer(address, self._settings.follower_wait)
         return ReadPlatform(self._settings.reader_wait)
 
     def find_report_targets(self, now: float) -> tuple[bool, list[Address]]:
-        """Returns whether this entry VM is a reader of its zone, and the readers to report to.
+        """Returns whether this entry VM reads for its zone, and the readers to report to.
 
         There are none in a small zone. In a zone of many readers only the one that is followed gets
-        reports, and each reader decides alone.
+        reports, and each reader decides alone. A standby decides while it follows no other reader.
         """
         readers = self._elect_readers()
         if readers is None:
             return False, []
         own = self.entry_vms.own.name
         others = [self.entry_vms.get(name).control_address for name in readers if name != own]
+        followed = None if own in _active(readers) else self._choose_reader(readers, now)
         if len(readers) > MAX_REPORT_TARGETS:
-            followed = None if own in readers else self._choose_reader(readers, now)
             others = [] if followed is None else [followed]
-        return own in readers, others
+        return own in readers and followed is None, others
 
     def is_zone_reader(self, address: Address) -> bool:
         """Whether this is the control address of another entry VM that is a reader of this zone."""
@@ -273,8 +277,12 @@
         return candidates[: count_readers(len(members), self._settings)]
 
     def _choose_reader(self, readers: Sequence[str], now: float) -> Address | None:
-        """Returns the first reader that is not being avoided, or None."""
-        for name in rendezvous_order(self.entry_vms.own.name, readers):
+        """Returns the first other reader that is not being avoided, the standby last, or None."""
+        own = self.entry_vms.own.name
+        active = _active(readers)
+        for name in [*rendezvous_order(own, active), *readers[len(active) :]]:
+            if name == own:
+                continue
             address = self.entry_vms.get(name).control_address
             if self._avoided_until.get(address, 0.0) <= now:
                 return address
@@ -293,6 +301,11 @@
         return self._fallback_peer
 
 
+def _active(readers: Sequence[str]) -> Sequence[str]:
+    """Returns the readers of a zone that read the platform all the time: all but the last."""
+    return readers[: max(1, len(readers) - 1)]
+
+
 def _link_class(vm: EntryVm) -> int:
     """Returns the class of an entry VM's link; each class is twice as wide as the one below."""
     return int(vm.link_mbps).bit_length()
