Flows of servers that are gone are reset together, without waiting for their next packets

Callers retransmit after 0.2, 0.6, 1.4 and 3.0 s, so some had none left and waited out their deadlines.

It is certain after one read that began after the packet, if the platform was well for relist_seconds before: a flow opens only after its server's entry was read. A server whose entry is on its way keeps its flows (test).

--- a/marjoramford/opaque_flows/flow_balancers.py
+++ b/marjoramford/opaque_flows/flow_balancers.py
@@ -130,6 +130,7 @@
         self.evidence.avoid_condemned_servers(now)
         self._flows.stop_counting_stale_flows(now)
         resets = self._reset_flows_of_dead_servers(now)
+        resets += self._reset_flows_of_unknown_servers(now)
         if self.evidence.is_shared and not was_stalled:
             resets += self._reset_idle_flows(now)
         if now >= self._next_sweep_at:
@@ -291,6 +292,7 @@
         server = self.server_list.labels.find(header.label)
         if server is None:
             return None
+        self._unknown_labels.release(header.flow)
         flow = PacketFlow(header.flow, server, header.label, False, now, now)
         flow.initialize_sequences(header)
         self._flows.add(flow)
@@ -306,11 +308,18 @@
         """
         if self.routes.find(header.flow.route_ip, header.flow.route_port) is None:
             return self._refuse(header.flow, "no route")
-        first_seen = self._unknown_labels.record(header.label, now)
-        if not self.server_list.loaded or not self.server_list.absence_confirmed(first_seen):
+        first_seen = self._unknown_labels.record(header, now)
+        if not self._is_label_gone(header.label, first_seen):
             return self._drop("label not listed yet")
+        self._unknown_labels.release(header.flow)
         return self._refuse(header.flow, "label of no server")
 
+    def _is_label_gone(self, label: int, first_seen: float) -> bool:
+        """Whether a label that was unknown at a time belongs to no server that still runs."""
+        server_list = self.server_list
+        is_known = server_list.labels.find(label) is not None
+        return not is_known and server_list.loaded and server_list.is_missing(first_seen)
+
     def _record_packet(self, flow: PacketFlow, header: PacketHeader, now: float) -> None:
         """Updates a flow by its caller's packet, and records what that shows of its server."""
         rounds = flow.rounds.count
@@ -356,6 +365,16 @@
             resets.append(FlowReset(flow.key, flow.acknowledged))
         return resets
 
+    def _reset_flows_of_unknown_servers(self, now: float) -> list[FlowReset]:
+        if self.routes is None:
+            return []
+        resets = []
+        for flow in self._unknown_labels.take_lost_flows(self._is_label_gone, now):
+            self._refuse(flow.key, "label of no server")
+            self.counters["reset_unknown"] += 1
+            resets.append(FlowReset(flow.key, flow.acknowledged))
+        return resets
+
     def _evict_expired(self, now: float) -> None:
         max_age_seconds = self._settings.flow_max_seconds
         idle_timeout = self.routes.idle_timeout if self.routes else max_age_seconds
--- a/marjoramford/opaque_flows/server_lists.py
+++ b/marjoramford/opaque_flows/server_lists.py
@@ -433,6 +433,17 @@
         began_at = max(since, self._reachable_since, self._peer_recovered_at)
         return self.confirmed_at - began_at >= self._settings.relist_seconds
 
+    def is_missing(self, seen_at: float) -> bool:
+        """Whether a server that was not listed at a time has left, since its flows had opened.
+
+        A flow opens at a server only after an entry VM has read its entry. So a list that was read
+        after a packet of the flow arrived has the server, unless its entry has expired since then,
+        in an outage of the platform or because the server is gone.
+        """
+        recovered_at = max(self._reachable_since, self._peer_recovered_at)
+        was_well = self.confirmed_at - recovered_at >= self._settings.relist_seconds
+        return was_well and self.confirmed_at >= seen_at
+
     def expire(self, now: float) -> None:
         """Acts on confirmed entries and absences, and forgets servers `forget_seconds` later."""
         self._update_zones(self.drains.expire(self.absence_confirmed, now), now)
