An entry VM that stops while the platform is silent hands its state over

Change: state_handovers offers the state to the other members, those that were away first, and keeps a holder within its grace period until one has it. Nothing is sent while the platform answers.

--- a/marjoramford/opaque_flows/packet_daemons.py
+++ b/marjoramford/opaque_flows/packet_daemons.py
@@ -32,13 +32,17 @@
 from .packet_sockets import PacketSocket
 from .packets import PacketCodec
 from .peer_groups import PeerGroup
+from .published_states import apply_state, decode_state
 from .shared_evidence import EvidenceCollector
+from .state_handovers import StateHandover
 from .state_publishers import StatePublisher
 from .state_readers import MemberExchange, PlatformReader, StateReader, merge_members
 
 logger = logging.getLogger(__name__)
 
 TICK_INTERVAL_SECONDS = 0.1
+# Shortest pause between two checks whether a planned stop is complete.
+MIN_DRAIN_PAUSE_SECONDS = 0.05
 # Longest wait of a follower's request; below the HTTP server's idle timeout.
 MAX_FOLLOWER_WAIT_SECONDS = 20.0
 
@@ -115,6 +119,7 @@
             make_reader(settings, self.balancer),
             self._publisher,
         )
+        self._handover = StateHandover(settings, self.balancer, self._group, self._publisher)
         self._stopping = asyncio.Event()
         self._failed = asyncio.Event()
 
@@ -201,6 +206,7 @@
     async def _drain(self, packets: PacketSocket) -> None:
         """Drains connections: reports not ready and keeps forwarding until no packets arrive.
 
+        While the platform does not answer, hands the state over to another entry VM before the end.
         Ends at a deadline within the grace period even if packets still arrive.
         """
         stop = self._settings.stop
@@ -209,13 +215,15 @@
         deadline = started_at + 0.9 * stop.grace_seconds
         log_event(logger, LogEvent.DRAIN_STARTED, flows=len(self.balancer.flows))
         self._group.entry_vms.own.state = "leaving"
+        handing_over = asyncio.create_task(self._handover.run())
         await self._exchange.exchange_once()
         await asyncio.sleep(stop.unready_seconds)
         while time.monotonic() < deadline and not self._failed.is_set():
             quiet = time.monotonic() - packets.last_packet_at
-            if quiet >= stop.quiet_seconds:
+            if quiet >= stop.quiet_seconds and not self._handover.is_pending:
                 break
-            await asyncio.sleep(stop.quiet_seconds - quiet + 0.01)
+            await asyncio.sleep(max(MIN_DRAIN_PAUSE_SECONDS, stop.quiet_seconds - quiet))
+        handing_over.cancel()
         seconds = round(time.monotonic() - started_at, 2)
         log_event(logger, LogEvent.DRAIN_FINISHED, seconds=seconds)
 
@@ -250,6 +258,8 @@
             case "/v1/ready":
                 ready = self.balancer.ready and not self._stopping.is_set()
                 return HttpResponse(200 if ready else 503, b"{}")
+            case "/v1/published" if request.method == "POST":
+                return HttpResponse(self._accept_state(request.body))
             case "/v1/published":
                 return await self._handle_follower_request(dict(parse_qsl(parts.query)))
             case "/v1/members" if request.method == "POST":
@@ -271,6 +281,27 @@
                 return HttpResponse(200, dump_state(self.balancer, self._group))
         return HttpResponse(404)
 
+    def _accept_state(self, body: bytes) -> int:
+        """Applies the state that a stopping entry VM offers, if this one has none.
+
+        Returns:
+            An HTTP status: 200 if this entry VM has a state now, 409 if the offered one cannot be
+            used, 400 if it is malformed.
+        """
+        if self.balancer.ready:
+            return 200
+        match decode_state(body):
+            case Ok(state):
+                apply_state(state, self.balancer, time.monotonic())
+                if not self.balancer.ready:
+                    return 409
+                self._publisher.notify()
+                log_event(logger, LogEvent.STATE_ACCEPTED, revision=state.revision, age=state.age)
+                return 200
+            case Err(reason):
+                log_event(logger, LogEvent.CONTROL_BODY_REJECTED, reason=reason)
+        return 400
+
     async def _handle_follower_request(self, query: dict[str, str]) -> HttpResponse:
         try:
             follower_request = msgspec.convert(query, type=_FollowerRequest, strict=False)
