A start serves other entry VMs before a silent platform has timed out

Cause: the early part of a start waited for the platform's time-out of 1 s before its HTTP service began, so that nobody could hand a state over to it. It ends after 0.6 s now, once everything is imported.

--- a/marjoramford/opaque_flows/early_starts.py
+++ b/marjoramford/opaque_flows/early_starts.py
@@ -5,7 +5,9 @@
 import than all that a packet needs. So a minimal loop reads the platform's state and forwards
 packets first, and imports the other modules between packets.
 
-While the platform does not answer, another entry VM may have its state, so one is asked too.
+While the platform does not answer, another entry VM may have its state, so one is asked too. If
+neither answers soon, the start goes on all the same: another entry VM may be about to hand its
+state over, and needs this one's HTTP service for that.
 """
 
 import importlib
@@ -44,6 +46,8 @@
 IMPORT_DELAY_SECONDS = 0.1
 # The platform answers within milliseconds; other entry VMs are asked if it takes this long.
 PEER_DELAY_SECONDS = 0.3
+# The early part ends without a state after this time, once everything is imported.
+MAX_EARLY_SECONDS = 0.6
 
 
 class Wait(msgspec.Struct, frozen=True):
@@ -258,23 +262,30 @@
         self.error: StepError | None = None
 
     def run(self, modules: Iterable[str]) -> None:
-        """Serves until the state is read or cannot be read, and the modules are imported."""
+        """Serves until the modules are imported, and the state is read or no source has answered.
+
+        A read of the platform that is still going on then counts as failed.
+        """
+        end_at = time.monotonic() + MAX_EARLY_SECONDS
         loop = EarlyLoop(self.packets)
         platform_task = loop.start(self._read_platform())
         loop.start(self._read_peers())
         import_at = time.monotonic() + IMPORT_DELAY_SECONDS
         remaining = list(modules)
         while remaining or not loop.is_idle:
-            if self.balancer.ready:
-                loop.cancel()
             now = time.monotonic()
+            if self.balancer.ready or (not remaining and now >= end_at):
+                loop.cancel()
             may_import = remaining and (loop.is_idle or now >= import_at)
-            loop.run_once(now if may_import else import_at if remaining else float("inf"))
+            loop.run_once(now if may_import else import_at if remaining else end_at)
             if may_import:
                 importlib.import_module(remaining.pop(0), __package__)
         match platform_task.result:
             case Err(error) if not self.balancer.ready:
                 self.error = error
+            case None if not self.balancer.ready:
+                reason = f"no answer within {MAX_EARLY_SECONDS} s"
+                self.error = StepError(Step.READ_PLATFORM, self._settings.platform, reason)
 
     async def _read_platform(self) -> Result[bool, StepError]:
         match await self.reader.preload():
--- a/tests/test_early_starts.py
+++ b/tests/test_early_starts.py
@@ -143,6 +143,18 @@
     start.close()
 
 
+def test_a_start_serves_other_entry_vms_before_a_silent_platform_has_timed_out():
+    """One that stops may hand the state over, but only to an HTTP service."""
+    start = Start()
+    silent = socket.create_server((HOST, start.ports["platform"]))
+    began_at = time.monotonic()
+    start.early.run(["colorsys"])
+    assert time.monotonic() - began_at < SETTINGS.reads.timeout
+    assert "no answer" in start.early.error.reason
+    silent.close()
+    start.close()
+
+
 def test_settings_are_read_again_after_a_signal_during_the_start():
     start = Start()
     start.early.reload_request.record()
