Readers of the platform gather changes in quick succession for longer

Change: a pause of 0.6 s after a change that follows another one at once, 0.2 s after others as before.

--- a/marjoramford/opaque_flows/flow_settings.py
+++ b/marjoramford/opaque_flows/flow_settings.py
@@ -213,10 +213,12 @@
         timeout: time allowed for a response beyond the requested wait, in seconds.
         settle_seconds: pause after a change, in seconds, so that changes in quick succession cost
             one call.
+        busy_settle_seconds: pause after a change that follows another one at once, in seconds.
     """
 
     timeout: Seconds = 1.0
     settle_seconds: Seconds = 0.2
+    busy_settle_seconds: Seconds = 0.6
 
 
 class PeerSettings(_Section):
--- a/marjoramford/opaque_flows/state_readers.py
+++ b/marjoramford/opaque_flows/state_readers.py
@@ -65,6 +65,7 @@
         self._followed_address: Address | None = None
         self._client: HttpClient | None = None
         self._asks_whole_routes = False
+        self._has_just_changed = False
 
     async def run(self) -> None:
         """Reads in a loop until cancelled."""
@@ -90,9 +91,13 @@
                 self._group.record_platform_read(True, time.monotonic())
                 if failures:
                     log_event(logger, LogEvent.PLATFORM_BACK, failures=failures)
+                is_busy = changed and self._has_just_changed
+                self._has_just_changed = changed
                 if changed:
                     self._publisher.notify()
-                    await asyncio.sleep(self._settings.reads.settle_seconds)
+                    reads = self._settings.reads
+                    pause = reads.busy_settle_seconds if is_busy else reads.settle_seconds
+                    await asyncio.sleep(pause)
             case Err(error):
                 self.record_platform_failure(error)
 
--- a/tests/test_state_readers.py
+++ b/tests/test_state_readers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import time
+from itertools import pairwise
 from random import Random
 
 import msgspec
 import pytest
+from result import Ok
 
 from marjoramford.opaque_flows.flow_balancers import FlowBalancer
 from marjoramford.opaque_flows.http_calls import HttpClient
@@ -21,8 +23,10 @@
 from marjoramford.shared.entry_vms import EntryVm
 from marjoramford.shared.errors import Step
 from marjoramford.standins.packet_stores import PacketStore
+from marjoramford.standins.virtual_loops import run_virtually
 
-from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, route_table
+from .flow_worlds import SETTINGS, START, FlowWorld, record, removal, route_table, snapshot
+from .test_platform_borders import own_group
 from .test_platform_packets import CONFIG, SERVER
 
 HOST = "127.0.0.1"
@@ -207,6 +211,39 @@
     asyncio.run(scenario())
 
 
+class ChangingPlatform:
+    """Changes at each of the first reads, then no more; remembers when it was read."""
+
+    def __init__(self, changes):
+        self.read_at = []
+        self._changes = changes
+
+    async def read(self, wait):
+        self.read_at.append(time.monotonic())
+        if len(self.read_at) > self._changes:
+            await asyncio.sleep(wait)
+        return Ok(len(self.read_at) <= self._changes)
+
+
+def test_changes_in_quick_succession_are_gathered():
+    """Cold servers change their entries at each heartbeat; each change cost a call."""
+
+    async def scenario():
+        balancer = FlowBalancer(SETTINGS, Random(1), time.monotonic())
+        balancer.server_list.apply(snapshot(record("s-1")), time.monotonic())
+        platform = ChangingPlatform(4)
+        reader = StateReader(SETTINGS, balancer, own_group(), platform, StatePublisher(balancer))
+        running = asyncio.create_task(reader.run())
+        while len(platform.read_at) < 5:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        return [after - before for before, after in pairwise(platform.read_at)]
+
+    first, *others = run_virtually(scenario())
+    assert first == pytest.approx(SETTINGS.reads.settle_seconds, abs=0.05)
+    assert others == [pytest.approx(SETTINGS.reads.busy_settle_seconds, abs=0.05)] * 3
+
+
 def test_an_entry_vm_without_state_reports_none():
     async def scenario():
         empty = FlowBalancer(SETTINGS, Random(1), START)
