Large fleets place and refuse flows by the load of the part that reports

Cause: the requests in progress of all entry VMs are known in fleets of up to eight. The ninth entry VM switched all to placement by own counts and refusals by answer times alone.

Change: where half of the entry VMs that would report here under load do so, flows are placed by the known counts, and the mean load is extrapolated from them. A flow is refused if that mean is too high and answers take 0.7 of their target; where full queues are worked off in time, nothing is refused. Small fleets keep their rule.

--- a/marjoramford/evaluations/packet_comparisons.py
+++ b/marjoramford/evaluations/packet_comparisons.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 from statistics import mean
@@ -17,7 +17,7 @@
 from ..opaque_flows.server_lists import ListChanges, ServerList
 from ..shared.backend_servers import BackendServer
 from ..shared.draws import choose_near_lowest
-from ..standins.deployments import DEPLOYMENTS
+from ..standins.deployments import DEPLOYMENTS, Deployment
 from ..standins.packet_faults import KillAllVms, PacketFault, inject_fault
 from ..standins.packet_traffic import PacketRequest
 from ..standins.packet_vms import BalancerFactory
@@ -232,14 +232,28 @@
     return PolicyScore(mean(run.worth for run in runs), mean(run.worst_windows for run in runs))
 
 
+def resize(deployment: Deployment, entry_vms: int) -> Deployment:
+    """Returns a deployment with another number of entry VMs, and servers in proportion."""
+    factor = entry_vms / deployment.entry_vms
+    services = tuple(
+        replace(service, servers=max(1, round(factor * service.servers)))
+        for service in deployment.services
+    )
+    return replace(deployment, entry_vms=entry_vms, services=services)
+
+
 def run_overload(
-    deployment: str, make_balancer: BalancerFactory, load: float, seed: int
+    deployment: str | Deployment,
+    make_balancer: BalancerFactory,
+    load: float,
+    seed: int,
+    seconds: float = OVERLOAD_SECONDS,
 ) -> PacketMeasures:
     """Runs one experiment without faults, with routes that name a target latency."""
     plan = PacketPlan(
-        DEPLOYMENTS[deployment],
+        DEPLOYMENTS[deployment] if isinstance(deployment, str) else deployment,
         seed,
-        OVERLOAD_SECONDS,
+        seconds,
         load=load,
         target_seconds=OVERLOAD_TARGET_SECONDS,
     )
--- a/marjoramford/opaque_flows/flow_admissions.py
+++ b/marjoramford/opaque_flows/flow_admissions.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from random import Random
 
+import msgspec
+
 from ..shared.backend_servers import BackendServer
 from .cold_starts import ColdStartControl
 from .flow_labels import derive_label
@@ -30,6 +32,25 @@
 NO_SERVER = "no server"
 
 
+class AllLoads(msgspec.Struct, frozen=True):
+    """All entry VMs report: the requests in progress per slot, of each server that takes flows."""
+
+    loads: tuple[float, ...]
+
+
+class SampledLoads(msgspec.Struct, frozen=True):
+    """Enough of a large fleet report: the mean of these loads, extrapolated from their part."""
+
+    mean: float
+
+
+class UnknownLoads(msgspec.Struct, frozen=True):
+    """Too few entry VMs report."""
+
+
+LoadView = AllLoads | SampledLoads | UnknownLoads
+
+
 class FlowAdmission:
     """Decides on the new flows of one entry VM.
 
@@ -78,12 +99,15 @@
         """Moves the refusal levels; must be called several times a second."""
         for service, control in self._overload_controls.items():
             was_refusing = control.level > 0
-            if not self._can_know_all_loads:
-                control.update(self._are_slots_taken(service, now), now)
-            elif self._knows_all_loads(now):
-                control.update_by_loads(self._loads(service, now))
-            else:
-                control.update_by_loads([])
+            match self._view_loads(service, now):
+                case AllLoads(loads=loads):
+                    control.update_by_loads(loads)
+                case SampledLoads(mean=mean):
+                    control.update_by_sample(mean, now)
+                case UnknownLoads() if self._can_know_all_loads:
+                    control.update_by_loads([])
+                case UnknownLoads():
+                    control.update(self._are_slots_taken(service, now), now)
             if was_refusing != (control.level > 0):
                 log_overload(service, control)
 
@@ -109,10 +133,12 @@
         control = self._overload_controls.get(service)
         if control is None:
             return False
-        if self._can_know_all_loads:
-            knows_all = self._knows_all_loads(now)
-            return knows_all and control.refuses_by_loads(route, self._loads(service, now), now)
-        if not control.refuses(route, now, self._random):
+        match self._view_loads(service, now):
+            case AllLoads(loads=loads):
+                return control.refuses_by_loads(route, loads, now)
+            case SampledLoads(mean=mean):
+                return control.refuses_by_sample(route, mean, now)
+        if self._can_know_all_loads or not control.refuses(route, now, self._random):
             return False
         # Judged again for each flow: slots may have become free since the last tick.
         return self._are_slots_taken(service, now)
@@ -218,13 +244,28 @@
         """Whether the requests in progress through all entry VMs are known."""
         return self.peer_loads.count_reporting(now) + 1 >= self.entry_vm_count
 
-    def _loads(self, service: str, now: float) -> list[float]:
-        """Returns the known requests in progress per slot of the servers that take flows."""
-        return [
+    def _has_sample(self, now: float) -> bool:
+        """Whether enough entry VMs report: all in a small fleet, else half of those that would."""
+        reporting = self.peer_loads.count_reporting(now)
+        if self._can_know_all_loads:
+            return reporting > 0 and self._knows_all_loads(now)
+        return 2 * reporting >= self._settings.load_reports.receivers > 0
+
+    def _view_loads(self, service: str, now: float) -> LoadView:
+        """Returns what is known of the loads of a service's servers."""
+        knows_all = self._can_know_all_loads and self._knows_all_loads(now)
+        if not (knows_all or self._has_sample(now)):
+            return UnknownLoads()
+        loads = tuple(
             self._count_known(server, now) / max(1, server.slots)
             for server in self._server_list.servers.of_service(service)
             if server.accepts_work and server.unlisted_since is None
-        ]
+        )
+        if knows_all:
+            return AllLoads(loads)
+        if not loads:
+            return UnknownLoads()
+        return SampledLoads(self._extrapolation(now) * sum(loads) / len(loads))
 
     def _are_slots_taken(self, service: str, now: float) -> bool:
         return self._are_slots_used(service, 1 + self._settings.overload.queued_share, now)
@@ -248,7 +289,7 @@
 
     def _make_counter(self, now: float) -> Callable[[BackendServer], int]:
         """Returns how the placement counts the requests in progress at a server."""
-        if self.peer_loads.count_reporting(now) and self._knows_all_loads(now):
+        if self._has_sample(now):
             return lambda server: self._count_known(server, now)
         return own_requests
 
--- a/marjoramford/opaque_flows/overload_controls.py
+++ b/marjoramford/opaque_flows/overload_controls.py
@@ -9,7 +9,10 @@
 In a small fleet the requests in progress through all entry VMs are known (`peer_loads`), and with
 them the queues of the servers: a flow is refused if it would wait too long at every server.
 
-In a larger fleet the evidence is the time until callers acknowledge answers. A full server turns
+In a larger fleet a part of the entry VMs reports, and the mean load of the servers is extrapolated
+from it: a flow is refused if the mean is too high and answers are slow.
+
+Without reports the evidence is the time until callers acknowledge answers. A full server turns
 requests away at once, so quick answers prove nothing: the slowest of the latest answers of each
 server counts. The median over the servers is taken, so that a few slow servers are no overload.
 Slow answers of a service whose slots are free are no overload either.
@@ -45,6 +48,12 @@
 TRANSIENT_MARGIN = 1.5
 # Requests per slot by which the mean of all servers must exceed the limit.
 MEAN_MARGIN = 0.25
+# Requests per slot by which an extrapolated mean must exceed the limit: servers are less even than
+# where all loads are known, and the extrapolation is uncertain.
+SAMPLE_MARGIN = 0.5
+# Share of the target latency that answers must take besides. Where full queues are worked off
+# within it, refusals gain nothing.
+SAMPLE_LATENCY_SHARE = 0.7
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -184,14 +193,46 @@
     def update_by_loads(self, loads: Sequence[float]) -> None:
         """Sets the refusal level to 1 or 0 by the loads of the servers; see `refuses_by_loads`."""
         self._latency_share = 0.0
-        if not loads:
-            self._load = float("inf")
-        elif self._load == float("inf"):
-            self._load = _mean(loads)
+        if loads:
+            self._record_load(_mean(loads))
         else:
-            self._load += LOAD_WEIGHT * (_mean(loads) - self._load)
+            self._load = float("inf")
         self._level = 1.0 if is_queue_full(loads, self._queue_limit(0)) else 0.0
 
+    def update_by_sample(self, mean_load: float, now: float) -> None:
+        """Sets the refusal level to 1 or 0 by an extrapolated mean load; see `refuses_by_sample`.
+
+        Args:
+            mean_load: requests in progress per slot, of the servers that accept flows.
+            now: time on the monotonic clock, in seconds.
+        """
+        self._expire_answers(now - self._settings.window_seconds)
+        self._latency_share = self._measure_latency_share()
+        self._record_load(mean_load)
+        self._level = 1.0 if self._is_sample_full(mean_load, 0) else 0.0
+
+    def refuses_by_sample(self, route: Route, mean_load: float, now: float) -> bool:
+        """Returns whether a new flow of a route is refused, by an extrapolated mean load.
+
+        Args:
+            route: the flow's route.
+            mean_load: requests in progress per slot, of the servers that accept flows.
+            now: time on the monotonic clock, in seconds.
+        """
+        if not self._is_regular(route, now):
+            return False
+        return self._is_sample_full(mean_load, self._rank(route, now))
+
+    def _is_sample_full(self, mean_load: float, rank: int) -> bool:
+        is_slow = self._latency_share >= SAMPLE_LATENCY_SHARE
+        return is_slow and mean_load >= self._queue_limit(rank) + SAMPLE_MARGIN
+
+    def _record_load(self, mean_load: float) -> None:
+        if self._load == float("inf"):
+            self._load = mean_load
+        else:
+            self._load += LOAD_WEIGHT * (mean_load - self._load)
+
     def refuses_by_loads(self, route: Route, loads: Sequence[float], now: float) -> bool:
         """Returns whether a new flow of a route is refused, where the loads of servers are known.
 
--- a/tests/test_packet_comparisons.py
+++ b/tests/test_packet_comparisons.py
@@ -5,6 +5,7 @@
 """
 
 from functools import partial
+from statistics import mean
 
 import pytest
 
@@ -14,6 +15,7 @@
     SharedCountsBalancer,
     UncontrolledBalancer,
     measure_policy,
+    resize,
     run_overload,
     run_pattern,
 )
@@ -70,6 +72,17 @@
     assert run_overload("heritage", FlowBalancer, load, 1).in_aim_share >= minimum
 
 
+@pytest.mark.parametrize("entry_vms", [9, 12])
+def test_a_fleet_that_is_too_large_to_know_all_loads_serves_nearly_as_much_in_time(entry_vms):
+    """The ninth entry VM once switched the whole fleet to rules that serve a fifth less."""
+
+    def mean_in_aim(size):
+        fleet = resize(HERITAGE, size)
+        return mean(run_overload(fleet, FlowBalancer, 1.2, s, 8.0).in_aim_share for s in (1, 2))
+
+    assert mean_in_aim(entry_vms) >= mean_in_aim(7) - 0.05
+
+
 @pytest.mark.parametrize(("load", "minimum"), [(1.2, 0.75), (2.0, 0.9 / 2.0)])
 def test_shared_counts_would_serve_the_target_share_in_time(load, minimum):
     """Shows that requests on open flows, which cannot be refused, do not put it out of reach."""
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -147,6 +147,55 @@
     assert isinstance(busy_world.caller().open(), Forward)
 
 
+@pytest.fixture
+def sampled_world(busy_world):
+    """The same in a fleet of thirty, of which seven report to this one; answers are slow."""
+    world = busy_world
+    world.balancer.admission.entry_vm_count = 30
+    for _ in range(8):
+        caller = world.caller()
+        caller.establish()
+        caller.request()
+        world.advance(0.1)
+        world.advance(0.1)
+        caller.receive_answer()
+    return world
+
+
+def advance_reported(world, count, senders=7):
+    """Lets entry VMs report for half a second, so that the levels follow."""
+    for sequence in range(5):
+        report_to(world, count, senders, sequence + 10 * count + 1)
+        world.advance(0.1)
+
+
+def test_a_part_of_a_large_fleet_shows_its_overload(sampled_world):
+    world = sampled_world
+    advance_reported(world, 1)
+    # Seven requests at each of two slots, and 30 entry VMs of which eight are known.
+    assert isinstance(world.caller().open(), ResetFlow)
+    world.advance(0.8)
+    advance_reported(world, 1, senders=3)
+    assert isinstance(world.caller().open(), Forward)
+
+
+def test_a_large_fleet_refuses_nothing_while_answers_are_in_time(busy_world):
+    """Where full queues are worked off within the target latency, refusals gain nothing."""
+    busy_world.balancer.admission.entry_vm_count = 30
+    advance_reported(busy_world, 1)
+    assert isinstance(busy_world.caller().open(), Forward)
+
+
+def test_flows_are_placed_by_the_reports_of_a_part_of_a_large_fleet(busy_world):
+    admission, server_list = busy_world.balancer.admission, busy_world.balancer.server_list
+    admission.entry_vm_count = 30
+    busy, idle = server_list.labels._servers
+    for number in range(4):
+        admission.peer_loads.record(f"front-{number}", LoadReport(1, 1, {busy: 2}), busy_world.now)
+    chosen = {busy_world.caller().open().server.name for _ in range(4)}
+    assert chosen == {server_list.labels.find(idle).name}
+
+
 @pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x92\x01\x01", b"\x93\x01\x01\x80"])
 def test_reports_of_unknown_senders_and_malformed_ones_are_rejected(payload):
     world = FlowWorld(record("s-1"))
