--- a/marjoramford/opaque_flows/evidence_exchanges.py
+++ b/marjoramford/opaque_flows/evidence_exchanges.py
@@ -15,11 +15,12 @@
 from ..shared.errors import Step, StepError
 from ..shared.json_bodies import decode_json
 from ..shared.logs import LogEvent, log_event
+from .evidence_collectors import EvidenceCollector
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
 from .http_calls import HttpClient
 from .peer_groups import PeerGroup
-from .shared_evidence import EvidenceCollector, EvidenceMessage, ReportLog, ServerReport
+from .shared_evidence import EvidenceMessage, ReportLog, ServerReport
 from .state_publishers import StatePublisher
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/opaque_flows/packet_daemons.py
+++ b/marjoramford/opaque_flows/packet_daemons.py
@@ -23,6 +23,7 @@
 from ..shared.logs import LogEvent, log_event
 from ..shared.tasks import run_guarded
 from .early_starts import EarlyStart
+from .evidence_collectors import EvidenceCollector
 from .evidence_exchanges import EvidenceExchange
 from .flow_balancers import FlowBalancer
 from .flow_settings import PacketVmSettings
@@ -33,7 +34,6 @@
 from .packets import PacketCodec
 from .peer_groups import PeerGroup
 from .published_states import apply_state, decode_state
-from .shared_evidence import EvidenceCollector
 from .state_handovers import StateHandover
 from .state_publishers import StatePublisher
 from .state_readers import MemberExchange, PlatformReader, StateReader, merge_members
--- a/marjoramford/opaque_flows/silence_evidence.py
+++ b/marjoramford/opaque_flows/silence_evidence.py
@@ -22,7 +22,8 @@
 from .flow_settings import PacketVmSettings
 from .packet_flows import PacketFlow, PacketFlowTable
 from .server_lists import ServerList
-from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey, Verdicts
+from .shared_evidence import LocalSilence, PublishedEvidence, ServerKey
+from .verdicts import Verdicts
 from .zone_contacts import ZoneContact
 
 logger = logging.getLogger(__name__)
--- a/marjoramford/opaque_flows/state_publishers.py
+++ b/marjoramford/opaque_flows/state_publishers.py
@@ -5,10 +5,11 @@
 
 import msgspec
 
+from .evidence_collectors import EvidenceCollector
 from .flow_balancers import FlowBalancer
 from .published_states import PublishedState, encode_state, shift_warm_at
 from .routes import RouteTable
-from .shared_evidence import EvidenceCollector, PublishedEvidence
+from .shared_evidence import PublishedEvidence
 from .state_versions import StateVersion
 
 
--- a/marjoramford/standins/packet_evidence.py
+++ b/marjoramford/standins/packet_evidence.py
@@ -9,13 +9,9 @@
 
 import msgspec
 
+from ..opaque_flows.evidence_collectors import EvidenceCollector
 from ..opaque_flows.flow_settings import PacketVmSettings
-from ..opaque_flows.shared_evidence import (
-    EvidenceCollector,
-    EvidenceMessage,
-    PublishedEvidence,
-    ReportLog,
-)
+from ..opaque_flows.shared_evidence import EvidenceMessage, PublishedEvidence, ReportLog
 from ..shared.entry_vms import rendezvous_order
 from .networks import Network
 from .packet_vms import EmulatedVm
--- a/tests/evidence_zones.py
+++ b/tests/evidence_zones.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
+from marjoramford.opaque_flows.evidence_collectors import EvidenceCollector
 from marjoramford.opaque_flows.flow_settings import SharedEvidenceSettings
 from marjoramford.opaque_flows.packets import Forward, ResetFlow
-from marjoramford.opaque_flows.shared_evidence import EvidenceCollector, EvidenceMessage, ReportLog
+from marjoramford.opaque_flows.shared_evidence import EvidenceMessage, ReportLog
 
 from .flow_worlds import SETTINGS, START, FlowWorld, record
 
--- a/tests/test_shared_evidence.py
+++ b/tests/test_shared_evidence.py
@@ -3,8 +3,8 @@
 import msgspec
 import pytest
 
+from marjoramford.opaque_flows.evidence_collectors import EvidenceCollector
 from marjoramford.opaque_flows.shared_evidence import (
-    EvidenceCollector,
     EvidenceMessage,
     LocalSilence,
     PublishedEvidence,
