Published states name the entries that are not verified after a restore

Cause: a restored copy may list servers that had left. Entry VMs that ran on withhold them until their absence or presence is confirmed, but one that started afterwards with a peer's state took them as listed.

Change: PublishedState.unverified; left out if empty and by older builds. A follower withholds them as its source does, unless the server is listed there already.

--- a/marjoramford/opaque_flows/published_states.py
+++ b/marjoramford/opaque_flows/published_states.py
@@ -38,6 +38,8 @@
             not answer; left out if it was never lost or long enough ago, and by older builds.
         drains: drains of zones that began or ended; those in force if `whole`. Sent also if empty:
             its absence shows an older build, or a sender that knows the drains only in part.
+        unverified: names of those in `records` whose servers had left before a restore; left out if
+            there are none, and by older builds.
         evidence: the sender's decisions on dead servers; left out if there are none, or to
             followers that did not ask for them.
     """
@@ -52,6 +54,7 @@
     reachable: Annotated[float, Meta(ge=0)] | None = None
     drains: tuple[ZoneDrain, ...] | None = None
     evidence: PublishedEvidence | None = None
+    unverified: tuple[str, ...] = ()
 
 
 def encode_state(state: PublishedState, compress: bool) -> bytes:
@@ -118,7 +121,9 @@
         return True
     records = tuple(shift_warm_at(record, now) for record in state.records)
     version = StateVersion(state.era, state.revision)
-    changes = ListChanges(records, state.removed, state.whole, version, state.drains)
+    changes = ListChanges(
+        records, state.removed, state.whole, version, state.drains, state.unverified
+    )
     if server_list.apply(changes, now):
         recovered_at = float("-inf") if state.reachable is None else now - state.reachable
         server_list.confirm(now - state.age, recovered_at, state.reachable == 0)
--- a/marjoramford/opaque_flows/server_lists.py
+++ b/marjoramford/opaque_flows/server_lists.py
@@ -54,6 +54,8 @@
             zones missing from `drains` are not drained.
         version: version of the list once these changes are applied.
         drains: drains of zones that began or ended; None if the sender does not know them.
+        unverified: names of those in `records` whose servers had left the list before the platform
+            was restored from the copy that has them.
     """
 
     records: tuple[VmRecord, ...]
@@ -61,6 +63,7 @@
     whole: bool
     version: StateVersion
     drains: tuple[ZoneDrain, ...] | None = ()
+    unverified: tuple[str, ...] = ()
 
 
 class ServerList:
@@ -164,12 +167,14 @@
         if version.era != self.version.era or not known:
             if self.are_drains_current:
                 drains = self.drains.snapshot()
-            return ListChanges(tuple(self._records.values()), (), True, self.version, drains)
+            records = tuple(self._records.values())
+            return ListChanges(records, (), True, self.version, drains, tuple(self._awaiting))
         if self.are_drains_current:
             drains = self.drains.changes_since(revision)
         records = tuple(r for r in self._records.values() if r.revision > revision)
         removed = tuple(item for item in self._removed.items() if item[1] > revision)
-        return ListChanges(records, removed, False, self.version, drains)
+        unverified = tuple(r.name for r in records if r.name in self._awaiting)
+        return ListChanges(records, removed, False, self.version, drains, unverified)
 
     def apply(self, changes: ListChanges, now: float) -> bool:
         """Applies a delta or a snapshot.
@@ -188,8 +193,9 @@
                 self._apply_drains(changes, now)
                 return True
             self.version = StateVersion(changes.version.era, 0)
+        unverified = set(changes.unverified)
         for record in changes.records:
-            self._put(record, now)
+            self._put(record, record.name not in unverified, now)
         for name, revision in changes.removed:
             self._remove(name, revision, now)
         if changes.whole:
@@ -299,14 +305,26 @@
             self._restore(server)
             server.unverified = True
 
-    def _put(self, record: VmRecord, now: float) -> None:
+    def _put(self, record: VmRecord, is_verified: bool, now: float) -> None:
         current_record = self._records.get(record.name)
         newest = current_record.revision if current_record else self._removed.get(record.name, 0)
         if record.revision <= newest:
             return
         self._records[record.name] = record
         self._removed.pop(record.name, None)
-        self._list(record, now)
+        if is_verified or self._runs(record):
+            self._list(record, now)
+            return
+        self._await(record)
+        if self._era_began_at == float("-inf"):
+            # A start knows of the restore from its peer alone.
+            self._era_began_at = now
+
+    def _runs(self, record: VmRecord) -> bool:
+        """Whether this incarnation of a server is listed here."""
+        server = self.servers.get(record.name)
+        is_same = server is not None and server.incarnation == record.incarnation
+        return is_same and server.unlisted_since is None
 
     def _list(self, record: VmRecord, now: float) -> None:
         self._awaiting.pop(record.name, None)
--- a/marjoramford/opaque_flows/state_publishers.py
+++ b/marjoramford/opaque_flows/state_publishers.py
@@ -118,6 +118,7 @@
             None if recovered_at is None else max(0.0, now - recovered_at),
             changes.drains,
             self._make_evidence(known, now),
+            changes.unverified,
         )
 
     def _make_evidence(self, known: _KnownVersions, now: float) -> PublishedEvidence | None:
