Silence of other zones lapses; a start waits for a platform that has begun to answer

Found by reading the change: silences that no answer followed were kept for good, so that a later loss of the platform alone could count as a cut of the zone (test fails before); and a start gave up a read of a slow platform after 0.6 s although half of it was there.

--- a/marjoramford/opaque_flows/early_starts.py
+++ b/marjoramford/opaque_flows/early_starts.py
@@ -46,7 +46,8 @@
 IMPORT_DELAY_SECONDS = 0.1
 # The platform answers within milliseconds; other entry VMs are asked if it takes this long.
 PEER_DELAY_SECONDS = 0.3
-# The early part ends without a state after this time, once everything is imported.
+# The early part ends without a state after this time, once everything is imported, unless the
+# platform has begun to answer.
 MAX_EARLY_SECONDS = 0.6
 
 
@@ -260,6 +261,7 @@
         self.reader = reader
         self.reload_request = reload_request
         self.error: StepError | None = None
+        self._has_answered = False
 
     def run(self, modules: Iterable[str]) -> None:
         """Serves until the modules are imported, and the state is read or no source has answered.
@@ -274,10 +276,12 @@
         remaining = list(modules)
         while remaining or not loop.is_idle:
             now = time.monotonic()
-            if self.balancer.ready or (not remaining and now >= end_at):
+            gives_up = not (remaining or self._has_answered) and now >= end_at
+            if self.balancer.ready or gives_up:
                 loop.cancel()
             may_import = remaining and (loop.is_idle or now >= import_at)
-            loop.run_once(now if may_import else import_at if remaining else end_at)
+            wait_until = float("inf") if self._has_answered else end_at
+            loop.run_once(now if may_import else import_at if remaining else wait_until)
             if may_import:
                 importlib.import_module(remaining.pop(0), __package__)
         match platform_task.result:
@@ -290,6 +294,7 @@
     async def _read_platform(self) -> Result[bool, StepError]:
         match await self.reader.preload():
             case Ok():
+                self._has_answered = True
                 return await self.reader.read(0.0)
             case failure:
                 return failure
--- a/marjoramford/opaque_flows/silence_evidence.py
+++ b/marjoramford/opaque_flows/silence_evidence.py
@@ -124,7 +124,7 @@
         """Records that a caller retransmitted data that a flow's server has not answered."""
         server = flow.server
         self._own_link.record_retransmission(server.name, now)
-        self._zone_contact.record_silence(server)
+        self._zone_contact.record_silence(server, now)
         if flow.waiting_since >= server.responsiveness.answered_at:
             self._suspect(server, flow.waiting_since, now)
         server.responsiveness.record_retransmission(
@@ -139,7 +139,7 @@
         It is no more than suspected: a full server does not answer opening packets.
         """
         self._suspect(server, waiting_since, now)
-        self._zone_contact.record_silence(server)
+        self._zone_contact.record_silence(server, now)
         self.verdicts.record_silent_opening(key_of(server), waiting_since, now)
 
     def record_call(self, called_at: float, now: float) -> None:
--- a/tests/test_early_starts.py
+++ b/tests/test_early_starts.py
@@ -155,6 +155,24 @@
     start.close()
 
 
+def test_a_slow_platform_that_has_begun_to_answer_is_waited_for():
+    """Giving up would throw away half of what was read."""
+    start = Start()
+    answer = start.filled_store().answer
+
+    async def answer_slowly(request):
+        await asyncio.sleep(0.4)
+        return await answer(request)
+
+    with serving(start.ports["platform"], answer_slowly):
+        cpu_began_at = time.process_time()
+        start.early.run([])
+    assert start.balancer.ready
+    assert start.early.error is None
+    assert time.process_time() - cpu_began_at < 0.5
+    start.close()
+
+
 def test_settings_are_read_again_after_a_signal_during_the_start():
     start = Start()
     start.early.reload_request.record()
--- a/tests/test_zone_contacts.py
+++ b/tests/test_zone_contacts.py
@@ -98,6 +98,17 @@
         assert "a" not in world.open_flows(0.5)
 
 
+def test_old_silence_proves_no_cut_once_the_platform_is_lost():
+    """Dead servers of another zone, and no packet to other zones since: nothing is cut off."""
+    world = DrainedZone()
+    world.cut(platform_answers=True)
+    world.advance(6.0)
+    world.balancer.server_list.mark_unreachable(world.now)
+    action = world.caller().open()
+    assert isinstance(action, Forward)
+    assert action.server.zone != "a"
+
+
 def test_silence_from_before_a_stall_proves_no_cut():
     world = DrainedZone()
     world.open_flows(1.0)
