--- a/marjoramford/standins/packet_faults.py
+++ b/marjoramford/standins/packet_faults.py
@@ -97,9 +97,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CutZone:
-    """An availability zone is cut off from the others; its callers still reach it."""
+    """An availability zone is cut off from the others; its callers still reach it.
+
+    Attributes:
+        zone: the zone; "" for a random one.
+        from_store: whether its entry VMs cannot reach the store either.
+    """
 
     seconds: float = 4.0
+    zone: str = ""
+    from_store: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,8 +211,9 @@
             return _stop_store(world, seconds)
         case RestoreStore(seconds=seconds, copy_age_seconds=copy_age):
             return _restore_store(world, seconds, copy_age)
-        case CutZone(seconds=seconds):
-            return _cut_zone(world, seconds)
+        case CutZone(seconds=seconds, zone=zone, from_store=from_store):
+            zone = zone or world.random.choice(world.deployment.zones)
+            return _cut_zone(world, zone, seconds, from_store)
         case LoseDatagrams(share=share, seconds=seconds):
             return _lose_datagrams(world, share, seconds)
         case StopZoneServers(seconds=seconds, zone=zone):
@@ -372,8 +380,10 @@
         world.catalogue.remove_server(name, world.now)
 
 
-def _cut_zone(world: PacketWorld, seconds: float) -> str:
-    zone = world.random.choice(world.deployment.zones)
+def _cut_zone(world: PacketWorld, zone: str, seconds: float, from_store: bool) -> str:
+    without_store = [vm for vm in world.vms if from_store and vm.zone == zone]
+    for vm in without_store:
+        vm.deny_store_access()
     for other in world.deployment.zones:
         world.record_fault(other)
         if other != zone:
@@ -381,6 +391,8 @@
 
     def heal() -> None:
         world.network.heal()
+        for vm in without_store:
+            vm.allow_store_access()
         for each in world.deployment.zones:
             world.record_fault(each)
 
--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -10,6 +10,7 @@
 import sys
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from marjoramford.evaluations.packet_comparisons import (
@@ -19,6 +20,7 @@
 )
 from marjoramford.evaluations.packet_experiments import PacketExperiment, PacketPlan
 from marjoramford.opaque_flows.flow_admissions import FlowAdmission
+from marjoramford.opaque_flows.flow_balancers import FlowBalancer
 from marjoramford.opaque_flows.installed_routes import InstalledRoutes
 from marjoramford.opaque_flows.packets import FlowKey
 from marjoramford.opaque_flows.routes import Route
@@ -198,6 +200,24 @@
     assert measures.promises_kept, measures.findings
 
 
+class RefusingBalancer(FlowBalancer):
+    """Opens no flow at servers of its drained zone while that is cut off."""
+
+    def __init__(self, settings, random, now):
+        placement = msgspec.structs.replace(settings.placement, drained_if_cut_off=False)
+        super().__init__(msgspec.structs.replace(settings, placement=placement), random, now)
+
+
+def test_a_drained_zone_that_is_cut_off_serves_its_callers_and_breaks_no_rule():
+    zone = HERITAGE.zones[0]
+    faults = [(3.0, DrainZone(14.0, zone=zone)), (9.0, CutZone(4.0, zone, from_store=True))]
+    served = run_zones(*faults, settings=PacketWorldSettings())
+    refused = run_zones(*faults, settings=PacketWorldSettings(make_balancer=RefusingBalancer))
+    assert served.promises_kept, served.findings
+    assert refused.promises_kept, refused.findings
+    assert served.worth > refused.worth + 0.02, (served.worth, refused.worth)
+
+
 def test_server_is_cold_again_after_each_start():
     world = PacketExperiment(PacketPlan(HERITAGE, 1, RUN_SECONDS), COLD).world
     server = world.running_servers("booking")[0]
