--- a/marjoramford/opaque_flows/server_lists.py
+++ b/marjoramford/opaque_flows/server_lists.py
@@ -452,11 +452,14 @@
         return self.confirmed_at - began_at >= self._settings.relist_seconds
 
     def is_missing(self, seen_at: float) -> bool:
-        """Whether a server that was not listed at a time has left, since its flows had opened.
+        """Whether a server that is not listed has left, given that a packet of its flow arrived.
 
         A flow opens at a server only after an entry VM has read its entry. So a list that was read
-        after a packet of the flow arrived has the server, unless its entry has expired since then,
-        in an outage of the platform or because the server is gone.
+        after the packet has the server, unless its entry has expired since then: in an outage of
+        the platform, or because the server is gone.
+
+        Args:
+            seen_at: when the packet arrived, on the monotonic clock in seconds.
         """
         recovered_at = max(self._reachable_since, self._peer_recovered_at)
         was_well = self.confirmed_at - recovered_at >= self._settings.relist_seconds
