--- a/tests/test_packet_experiments.py
+++ b/tests/test_packet_experiments.py
@@ -390,7 +390,7 @@
 
     def replace_by_revision(self, changes, now):
         for record in changes.records:
-            self._put(record, now)
+            self._put(record, True, now)
         names = {record.name for record in changes.records}
         for name in self._records.keys() - names:
             self._remove(name, changes.version.revision, now)
@@ -405,9 +405,9 @@
 def test_detects_a_server_missing_from_the_list(monkeypatch):
     put = ServerList._put
 
-    def put_some(self, record, now):
+    def put_some(self, record, is_verified, now):
         if record.name != "i-00000003":
-            put(self, record, now)
+            put(self, record, is_verified, now)
 
     monkeypatch.setattr(ServerList, "_put", put_some)
     notes = run(seconds=10.0).findings.notes
