Known red: a late copy of an opening packet is reset while the zone is cut off

Found by reading the change again: _open_flow drops a late copy for a flow that another entry VM opened if the reason is a drained zone or cold servers, but not for a zone that is cut off, which a drained zone's refusal used to cover. The test fails on the present code.

--- a/tests/test_zone_contacts.py
+++ b/tests/test_zone_contacts.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from marjoramford.opaque_flows.flow_labels import derive_label
 from marjoramford.opaque_flows.packets import Forward, ResetFlow
 
 from .flow_worlds import SETTINGS, START, FlowWorld, drain, record
@@ -109,6 +110,18 @@
     assert action.server.zone != "a"
 
 
+def test_a_late_copy_for_a_flow_that_opened_elsewhere_is_not_reset_while_cut_off():
+    """Guards against a reset that hits an open flow, as for drained zones and cold servers."""
+    world = DrainedZone(REFUSING)
+    world.open_flows(1.0)
+    world.cut()
+    world.open_flows(0.5)
+    caller = world.caller()
+    caller.label = derive_label("s-3", 0)
+    assert isinstance(caller.request(), Forward)
+    assert not isinstance(caller.open(), ResetFlow)
+
+
 def test_silence_from_before_a_stall_proves_no_cut():
     world = DrainedZone()
     world.open_flows(1.0)
