--- a/review/standins/config_storm.py
+++ b/review/standins/config_storm.py
@@ -20,7 +20,7 @@
     "front-nue-b-1": ("127.0.12.1", "nue-b"),
     "front-nue-b-2": ("127.0.12.2", "nue-b"),
 }
-STORE_HOST, REQUESTER_HOST, SERVER_HOST = "127.0.10.1", "127.0.13.1", "127.0.14.{}"
+STORE_HOST, REQUESTER_HOST, SERVER_HOST = "127.0.10.1", "127.0.13.{}", "127.0.14.{}"
 
 
 def make_config(version, timeout_ms, ports):
@@ -57,7 +57,7 @@
 
 async def main(record, folder, has_trouble):
     server_hosts = [SERVER_HOST.format(n) for n in range(1, 7)]
-    hosts = [STORE_HOST, REQUESTER_HOST, *server_hosts, *(vm[0] for vm in VM_HOSTS.values())]
+    hosts = [STORE_HOST, *(REQUESTER_HOST.format(n) for n in range(1, 5)), *server_hosts, *(vm[0] for vm in VM_HOSTS.values())]
     ports = world.find_ports(hosts)
     store = world.Store(record)
     await store.serve(STORE_HOST, ports["store"])
@@ -78,8 +78,14 @@
     first = make_config(3, 4000, before)
     store.put("op/config", first)
     record.write("config of", len(first), "bytes (value_bytes is 1048576)")
-    requester = world.Requester(REQUESTER_HOST, ports["datagram"], record)
-    await requester.start()
+    requesters = {}
+    for name, (host, _) in VM_HOSTS.items():
+        # Each sends through one entry VM, as flows that test the config in force do.
+        requester_host = REQUESTER_HOST.format(len(requesters) + 1)
+        requesters[name] = world.Requester(
+            requester_host, ports["datagram"], record, lambda _, host=host: host
+        )
+        await requesters[name].start()
     vms = world.EntryVms(
         folder,
         VM_HOSTS,
@@ -95,7 +101,7 @@
             record.write("the entry VMs are not ready")
             return None
         await asyncio.sleep(5)
-        if not await is_served(requester, (PUBLIC_HOST, 443)):
+        if not await is_served(requesters, (PUBLIC_HOST, 443)):
             return None
         changes = int(STORM_SECONDS / STORM_GAP_S) if has_trouble else 0
         storm = [make_config(5 + 2 * n, 3900 + n, before) for n in range(changes)]
@@ -110,7 +116,7 @@
         drain_acked_at = store.put(f"servers/{drained.id}", drained.entry("draining"))
         record.write("server", drained.id, "acknowledged as draining")
         return await find_breaches(
-            record, requester, servers, drained, config_acked_at, drain_acked_at
+            record, requesters, drained, config_acked_at, drain_acked_at
         )
     finally:
         vms.stop()
@@ -118,22 +124,22 @@
         await asyncio.sleep(0.2)
 
 
-async def is_served(requester, route):
+async def is_served(requesters, route):
     results = await asyncio.gather(
-        *(requester.request(vm[0], route, f"first-{vm[0]}") for vm in VM_HOSTS.values())
+        *(requester.request(route, f"first-{name}") for name, requester in requesters.items())
     )
     return all(result["result"] == "served by entwurf" for result in results)
 
 
-async def find_breaches(record, requester, servers, drained, config_acked_at, drain_acked_at):
+async def find_breaches(record, requesters, drained, config_acked_at, drain_acked_at):
     """Sends requests from the bounds on, for 9 s, and judges them."""
     await asyncio.sleep(drain_acked_at + DRAIN_S + SLACK_S - time.monotonic())
     results = []
     for turn in range(18):
-        for name, (host, _) in VM_HOSTS.items():
+        for name, requester in requesters.items():
             for port in (9443, 8443, 443):
                 label = f"{port}-{name}-{turn}"
-                task = asyncio.create_task(requester.request(host, (PUBLIC_HOST, port), label))
+                task = asyncio.create_task(requester.request((PUBLIC_HOST, port), label))
                 results.append((port, task))
         await asyncio.sleep(0.5)
     breaches = []
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -172,7 +172,7 @@
         self._handle = handle
 
     def datagram_received(self, data, addr):
-        self._handle(data)
+        self._handle(data, addr[0])
 
     def error_received(self, exc):
         pass
@@ -192,6 +192,9 @@
     Attributes:
         runs: Request-Id of each request that it began to work on.
         opened: when it took each opening packet, on the monotonic clock.
+        cut_from: hosts whose packets are lost on the way.
+        is_up: whether its process runs.
+        born: start of its process, in Unix milliseconds.
     """
 
     def __init__(self, number, service, zone, host, port, reply_port, record, work_s=0.03):
@@ -202,8 +205,27 @@
         self._flows = {}
         self.runs = []
         self.opened = []
+        self.cut_from = frozenset()
+        self.is_up = True
+        self.born = int(time.time() * 1000)
         self.udp = None
 
+    def crash(self):
+        """Ends its process: it answers nothing, and its flows are gone."""
+        self.is_up = False
+        self._flows.clear()
+        self._record.write("server", self.id, "crashes")
+
+    def restart(self):
+        """Starts its process again under the same id."""
+        self.is_up = True
+        self.born = int(time.time() * 1000)
+        self._record.write("server", self.id, "starts again, born", self.born)
+
+    def has_flow(self, port):
+        """Whether it holds the open flow of a requester's port."""
+        return any(key[1] == port and flow["open"] for key, flow in self._flows.items())
+
     def entry(self, state="ready"):
         return {
             "service": self.service,
@@ -214,13 +236,14 @@
             "state": state,
             "warmup_left_ms": 0,
             "sequence": 1,
+            "born": self.born,
         }
 
     async def start(self):
         self.udp = await open_udp(self.host, self.port, self._receive)
 
-    def _receive(self, datagram):
-        if len(datagram) < 8 + HEAD.size:
+    def _receive(self, datagram, sender):
+        if not self.is_up or sender in self.cut_from or len(datagram) < 8 + HEAD.size:
             return
         if int.from_bytes(datagram[:8], "big") not in (0, self._number):
             return
@@ -239,6 +262,7 @@
             self._send(key, flow, SYN | ACK)
             return
         if flow is None:
+            self._record.write("server", self.id, self.service, "resets port", sport)
             self._send(key, {"seq": 0, "next": 0, "echo": echo}, RST)
             return
         flow["echo"] = echo
@@ -273,6 +297,7 @@
             b"HTTP/1.1 200 OK\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s"
             % (request_id.encode(), len(body), body)
         )
+        flow["tries"] = 0
         self._repeat_answer(key, flow)
 
     def _repeat_answer(self, key, flow):
@@ -292,10 +317,14 @@
 
 
 class Requester:
-    """Opens a flow for each request; one address for all flows, each from a new port."""
+    """Sends requests from one address; each flow has a new port.
+
+    Args:
+        route_vm: the router; returns the host of the entry VM for a port of the requester.
+    """
 
-    def __init__(self, host, port, record):
-        self.host, self._port, self._record = host, port, record
+    def __init__(self, host, port, record, route_vm):
+        self.host, self._port, self._record, self._route_vm = host, port, record, route_vm
         self._flows = {}
         self._ports = iter(range(20_000, 65_000))
         self.udp = None
@@ -303,90 +332,155 @@
     async def start(self):
         self.udp = await open_udp(self.host, self._port, self._receive)
 
-    async def request(self, vm_host, route, name, deadline_s=2.0):
-        """Sends one request through an entry VM: returns a dict with `result` and its times.
+    async def request(self, route, name, deadline_s=2.0):
+        """Sends one request on a flow of its own.
 
-        `result` is `served by SERVICE`, `reset`, `reset of open flow`, `no SYN+ACK` or `deadline`.
+        Returns:
+            A dict with `result`: `served by SERVICE`, `reset`, `reset of the open flow`,
+            `no SYN+ACK` or `deadline`; and with `sent_at`, on the monotonic clock.
         """
-        sport = next(self._ports)
-        flow = {"queue": asyncio.Queue(), "echo": 0, "sent_at": time.monotonic()}
-        self._flows[sport] = flow
-        self._record.write("request", name, "from port", sport, "to", route, "through", vm_host)
+        flow = Flow(self, next(self._ports), route)
+        result = await flow.request(name, deadline_s)
+        flow.close()
+        return result
+
+    def open_flow(self, route):
+        """Returns a flow for many requests."""
+        return Flow(self, next(self._ports), route)
+
+    def send(self, flow, flags, seq, ack, data=b""):
+        host, dport = flow.route
+        head = HEAD.pack(
+            dport,
+            flow.port,
+            ip_number(self.host),
+            ip_number(host),
+            flow.echo,
+            flags,
+            seq,
+            ack,
+            len(data),
+            1,
+        )
+        vm_host = self._route_vm(flow.port)
+        self.udp.sendto(head + data, (vm_host, self._port))
+        return vm_host
+
+    def add(self, flow):
+        self._flows[flow.port] = flow
+
+    def remove(self, flow):
+        self._flows.pop(flow.port, None)
+
+    def write(self, *words):
+        self._record.write(*words)
+
+    def _receive(self, datagram, sender):
+        dport, _, _, _, echo, flags, seq, ack, _, _ = HEAD.unpack_from(datagram)
+        flow = self._flows.get(dport)
+        if flow is None:
+            return
+        if not flags & RST:
+            flow.echo = echo
+        data = datagram[HEAD.size :]
+        packet = {"flags": flags, "seq": seq, "ack": ack, "data": data, "sender": sender}
+        flow.packets.put_nowait(packet)
+
+
+class Flow:
+    """One flow of a requester.
+
+    Attributes:
+        reset_by: the address from which an open flow was reset; None if it was not.
+    """
+
+    def __init__(self, requester, port, route):
+        self._requester, self.port, self.route = requester, port, route
+        self.echo = 0
+        self.packets = asyncio.Queue()
+        self.is_open = False
+        self.reset_by = None
+        self._seq = random.randrange(MODULUS)
+        self._ack = 0
+        requester.add(self)
+
+    async def request(self, name, deadline_s=2.0):
+        """Sends a request and waits for its answer; opens the flow before."""
+        sent_at = time.monotonic()
+        self._requester.write("request", name, "on port", self.port, "to", self.route)
         try:
             async with asyncio.timeout(deadline_s):
-                result = await self._exchange(flow, sport, vm_host, route, name)
+                result = await self._exchange(name)
         except TimeoutError:
             result = "deadline"
-        finally:
-            del self._flows[sport]
-        self._record.write("request", name, "->", result)
-        return {"name": name, "result": result, "sent_at": flow["sent_at"], "sport": sport}
-
-    async def _exchange(self, flow, sport, vm_host, route, name):
-        host, dport = route
-        first = random.randrange(MODULUS)
-
-        def send(flags, seq, ack, data=b""):
-            head = HEAD.pack(
-                dport,
-                sport,
-                ip_number(self.host),
-                ip_number(host),
-                flow["echo"],
-                flags,
-                seq,
-                ack,
-                len(data),
-                1,
+        self._requester.write("request", name, "->", result)
+        return {"name": name, "result": result, "sent_at": sent_at, "port": self.port}
+
+    def was_reset(self):
+        """Whether a reset has come between two requests."""
+        while not self.packets.empty():
+            packet = self.packets.get_nowait()
+            if packet["flags"] & RST:
+                self.is_open = False
+                self.reset_by = packet["sender"]
+                self._requester.write("port", self.port, "is reset by", self.reset_by)
+        return not self.is_open
+
+    def close(self):
+        if self.is_open:
+            self._requester.send(self, ACK | FIN, self._seq, self._ack)
+        self._requester.remove(self)
+
+    async def _exchange(self, name):
+        if not self.is_open:
+            failure = await self._open()
+            if failure is not None:
+                return failure
+        data = f"GET / HTTP/1.1\r\nHost: x\r\nRequest-Id: {name}\r\n\r\n".encode()
+        wait = 0.2
+        while True:
+            vm_host = self._requester.send(self, ACK, self._seq, self._ack, data)
+            packet = await self._take(
+                wait, lambda p: p["flags"] & RST or (p["data"] and p["seq"] == self._ack)
             )
-            self.udp.sendto(head + data, (vm_host, self._port))
-
-        answer = None
+            if packet is not None:
+                break
+            wait = min(1.6, 2 * wait)
+        if packet["flags"] & RST:
+            self.is_open = False
+            self.reset_by = packet["sender"]
+            return f"reset of the open flow by {packet['sender']}, sent through {vm_host}"
+        self._seq = (self._seq + len(data)) % MODULUS
+        self._ack = (self._ack + len(packet["data"])) % MODULUS
+        self._requester.send(self, ACK, self._seq, self._ack)
+        return "served by " + packet["data"].decode().rpartition(" ")[2]
+
+    async def _open(self):
+        packet = None
         for copies, wait in enumerate((0.2, 0.4, 0.8)):
-            send(SYN, first, copies)
-            answer = await self._take(flow, wait, lambda p: p["flags"] & (RST | SYN))
-            if answer is not None:
+            self._requester.send(self, SYN, self._seq, copies)
+            packet = await self._take(wait, lambda p: p["flags"] & (RST | SYN))
+            if packet is not None:
                 break
-        if answer is None:
+        if packet is None:
             return "no SYN+ACK"
-        if answer["flags"] & RST:
+        if packet["flags"] & RST:
             return "reset"
-        seq, ack = (first + 1) % MODULUS, (answer["seq"] + 1) % MODULUS
-        data = f"GET / HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {name}\r\n\r\n".encode()
-        wait = 0.2
-        while True:
-            send(ACK, seq, ack, data)
-            answer = await self._take(flow, wait, lambda p: p["flags"] & RST or p["data"])
-            if answer is not None:
-                break
-            wait = min(1.6, 2 * wait)
-        if answer["flags"] & RST:
-            return "reset of open flow"
-        seq, ack = (seq + len(data)) % MODULUS, (answer["seq"] + len(answer["data"])) % MODULUS
-        send(ACK | FIN, seq, ack)
-        return "served by " + answer["data"].decode().rpartition(" ")[2]
+        self._seq, self._ack = (self._seq + 1) % MODULUS, (packet["seq"] + 1) % MODULUS
+        self.is_open = True
+        return None
 
-    async def _take(self, flow, wait, matches):
+    async def _take(self, wait, matches):
         deadline = time.monotonic() + wait
         while (remaining := deadline - time.monotonic()) > 0:
             try:
-                packet = await asyncio.wait_for(flow["queue"].get(), remaining)
+                packet = await asyncio.wait_for(self.packets.get(), remaining)
             except TimeoutError:
                 return None
             if matches(packet):
                 return packet
         return None
 
-    def _receive(self, datagram):
-        dport, _, _, _, echo, flags, seq, ack, _, _ = HEAD.unpack_from(datagram)
-        flow = self._flows.get(dport)
-        if flow is None:
-            return
-        if not flags & RST:
-            flow["echo"] = echo
-        packet = {"flags": flags, "seq": seq, "ack": ack, "data": datagram[HEAD.size :]}
-        flow["queue"].put_nowait(packet)
-
 
 class EntryVms:
     """Starts the entry VMs as the platform does; each has its own loopback address."""
