--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -194,6 +194,7 @@
         opened: when it took each opening packet, on the monotonic clock.
         cut_from: hosts whose packets are lost on the way.
         is_up: whether its process runs.
+        lost_openings: how many of its next SYN+ACK are lost on the way to the requester.
         born: start of its process, in Unix milliseconds.
     """
 
@@ -207,6 +208,7 @@
         self.opened = []
         self.cut_from = frozenset()
         self.is_up = True
+        self.lost_openings = 0
         self.born = int(time.time() * 1000)
         self.udp = None
 
@@ -259,11 +261,16 @@
                 self.opened.append((time.monotonic(), key))
                 self._record.write("server", self.id, self.service, "takes SYN of port", sport)
             flow["echo"] = echo
-            self._send(key, flow, SYN | ACK)
+            if flow["tries"] == 0:
+                self._repeat_opening(key, flow)
+            else:
+                self._send(key, flow, SYN | ACK)
             return
-        if flow is None:
+        is_foreign = flow is not None and not flow["open"] and ack != (flow["seq"] + 1) % MODULUS
+        if flow is None or is_foreign:
+            # It holds no such flow, or only the beginning of another one.
             self._record.write("server", self.id, self.service, "resets port", sport)
-            self._send(key, {"seq": 0, "next": 0, "echo": echo}, RST)
+            self._send(key, {"seq": ack, "next": 0, "echo": echo}, RST)
             return
         flow["echo"] = echo
         if flags & RST:
@@ -291,6 +298,19 @@
             self._send(key, flow, ACK | FIN)
             del self._flows[key]
 
+    def _repeat_opening(self, key, flow):
+        """Sends the SYN+ACK until it is acknowledged, eight times again at most."""
+        if self._flows.get(key) is not flow or flow["open"] or flow["tries"] > 8:
+            return
+        if self.lost_openings:
+            self.lost_openings -= 1
+            self._record.write("the SYN+ACK of server", self.id, "to port", key[1], "is lost")
+        else:
+            self._send(key, flow, SYN | ACK)
+        pause = min(1.6, 0.2 * 2 ** flow["tries"])
+        flow["tries"] += 1
+        asyncio.get_running_loop().call_later(pause, self._repeat_opening, key, flow)
+
     def _answer(self, key, flow, request_id):
         body = f"{request_id} by {self.service}".encode()
         flow["answer"] = (
@@ -380,7 +400,10 @@
         flow = self._flows.get(dport)
         if flow is None:
             return
-        if not flags & RST:
+        if flags & RST:
+            if flow.is_open and (seq - flow.acknowledged + 76_800) % MODULUS > 2 * 76_800:
+                return
+        else:
             flow.echo = echo
         data = datagram[HEAD.size :]
         packet = {"flags": flags, "seq": seq, "ack": ack, "data": data, "sender": sender}
@@ -404,6 +427,11 @@
         self._ack = 0
         requester.add(self)
 
+    @property
+    def acknowledged(self):
+        """The next byte that it expects from the server."""
+        return self._ack
+
     async def request(self, name, deadline_s=2.0):
         """Sends a request and waits for its answer; opens the flow before."""
         sent_at = time.monotonic()
