--- a/review/standins/config_storm.py
+++ b/review/standins/config_storm.py
@@ -1,4 +1,4 @@
-"""Case 1: a storm of changes of a large config, in a deployment of four entry VMs."""
+"""Case 2: a storm of changes of a large config, in a deployment of four entry VMs."""
 
 import asyncio
 import json
