--- a/review/standins/server_restart.py
+++ b/review/standins/server_restart.py
@@ -1,4 +1,4 @@
-"""Case 2: a server behind a cut from the store starts again, and an entry VM is added meanwhile."""
+"""Case 3: a server behind a cut from the store starts again, and an entry VM is added meanwhile."""
 
 import asyncio
 import random
@@ -15,21 +15,23 @@
 # A little more than the window, for the time between an event and its record here.
 SLACK_S = 0.2
 CUT_SECONDS = 5.0
-DOWN_SECONDS = 0.3
+DOWN_SECONDS = 0.2
 # When the entry VM is added, from the start of the cut.
 ADDED_AFTER_S = 2.0
 SERVERS = 5
-FLOWS_PER_SECOND = 25
+FLOWS_PER_SECOND = 30
 # How long a requester pauses on an open flow; the idle timeout of the config is 15 s.
 PAUSE_S = 10.0
 VM_HOSTS = {
     "front-muc-a-1": ("127.0.11.1", "muc-a"),
     "front-muc-a-2": ("127.0.11.2", "muc-a"),
+    "front-muc-a-3": ("127.0.11.3", "muc-a"),
     "front-nue-b-1": ("127.0.12.1", "nue-b"),
     "front-nue-b-2": ("127.0.12.2", "nue-b"),
-    "front-muc-a-3": ("127.0.11.3", "muc-a"),
+    "front-nue-b-3": ("127.0.12.3", "nue-b"),
+    "front-muc-a-4": ("127.0.11.4", "muc-a"),
 }
-ADDED_VM = "front-muc-a-3"
+ADDED_VM = "front-muc-a-4"
 STORE_HOST, REQUESTER_HOST, SERVER_HOST = "127.0.10.1", "127.0.13.1", "127.0.14.{}"
 
 
