--- a/review/standins/config_storm.py
+++ b/review/standins/config_storm.py
@@ -57,7 +57,8 @@
 
 async def main(record, folder, has_trouble):
     server_hosts = [SERVER_HOST.format(n) for n in range(1, 7)]
-    hosts = [STORE_HOST, *(REQUESTER_HOST.format(n) for n in range(1, 5)), *server_hosts, *(vm[0] for vm in VM_HOSTS.values())]
+    requester_hosts = [REQUESTER_HOST.format(n) for n in range(1, len(VM_HOSTS) + 1)]
+    hosts = [STORE_HOST, *requester_hosts, *server_hosts, *(vm[0] for vm in VM_HOSTS.values())]
     ports = world.find_ports(hosts)
     store = world.Store(record)
     await store.serve(STORE_HOST, ports["store"])
@@ -79,9 +80,8 @@
     store.put("op/config", first)
     record.write("config of", len(first), "bytes (value_bytes is 1048576)")
     requesters = {}
-    for name, (host, _) in VM_HOSTS.items():
+    for requester_host, (name, (host, _)) in zip(requester_hosts, VM_HOSTS.items()):
         # Each sends through one entry VM, as flows that test the config in force do.
-        requester_host = REQUESTER_HOST.format(len(requesters) + 1)
         requesters[name] = world.Requester(
             requester_host, ports["datagram"], record, lambda _, host=host: host
         )
