--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -354,15 +354,17 @@
             self.started.append((request, now()))
             self.record.write("server", self.identity, "runs", request)
             loop = asyncio.get_running_loop()
-            loop.call_later(self.work, self._answer, flow, request)
+            loop.call_later(self.work, self._answer, key, flow, request)
 
-    def _answer(self, flow, request) -> None:
+    def _answer(self, key, flow, request) -> None:
         self._busy -= 1
         if not flow.ended:
             body = f"{request} by {self.identity}".encode()
             body += b"." * (600 - len(body))
             head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nContent-Length: {len(body)}\r\n\r\n"
             flow.sender.send(head.encode() + body)
+            if self.state == "draining":
+                self._send(key, ACK | FIN, flow.sender.seq, flow.receiver.expected, flow.echo)
         self._work_on()
 
     def _send(self, key, flags, seq, ack, echo, data=b"") -> None:
@@ -382,7 +384,7 @@
     """One flow of a requester, from its opening to its end.
 
     Attributes:
-        outcome: None while it is opening; "open", "no answer" or "reset".
+        outcome: None while it is opening; "open", "no answer", "reset" or "closed" by the server.
         reset_by: "system" or "server" once it was reset.
     """
 
@@ -464,6 +466,9 @@
                     self._answer.set_result((fields["Request-Id"], body))
         if at_once:
             self._transmit(ACK, self._sender.seq, self._receiver.expected)
+        if packet.flags & FIN:
+            self.close()
+            self._settle("closed")
 
     def _take_reset(self, packet: Packet) -> None:
         is_system = packet.sum == 0 and not packet.data
