--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -491,7 +491,7 @@
     async def request(self, request: str, deadline: float, size: int = 0) -> bytes | None:
         """Sends a request; returns the answer's body, or None without an answer in time."""
         self._answer = asyncio.get_running_loop().create_future()
-        head = f"POST /work HTTP/1.1\r\nRequest-Id: {request}\r\nContent-Length: {size}\r\n\r\n"
+        head = f"POST /holds HTTP/1.1\r\nRequest-Id: {request}\r\nContent-Length: {size}\r\n\r\n"
         self.record.write("requester sends", request, "on", show(self.key))
         self._sender.send(head.encode() + b"x" * size)
         try:
